--- /dev/null
+++ b/src/main/java/corkproxy/Main.java
@@ -0,0 +1,33 @@
+package corkproxy;
+
+import java.io.IOException;
+import corkproxy.adapter.Adapter;
+import corkproxy.adapter.MalformedInputException;
+import corkproxy.proxy.ConfigException;
+import corkproxy.proxy.Proxy;
+
+/** Entry point of the jar. */
+public final class Main {
+  private Main() {}
+
+  /**
+   * Runs {@code proxy}, a client proxy on sockets, or {@code adapter}, the same decisions on the
+   * simulator's wire on standard input and output.
+   */
+  public static void main(String[] args) throws IOException {
+    String command = args.length == 1 ? args[0] : "";
+    try {
+      switch (command) {
+        case "proxy" -> Proxy.run(System.getenv());
+        case "adapter" -> new Adapter(System.in, System.out, System.err).run();
+        default -> {
+          System.err.println("usage: java -jar corkproxy.jar proxy|adapter");
+          System.exit(2);
+        }
+      }
+    } catch (MalformedInputException | ConfigException e) {
+      System.err.println("corkproxy: " + e.getMessage());
+      System.exit(1);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/balancer/Actions.java
@@ -0,0 +1,28 @@
+package corkproxy.balancer;
+
+/** What a {@link Balancer} asks its proxy to do. Calls are made from within the event methods. */
+public interface Actions {
+  /** Starts an attempt; attempts of a request are numbered 0, 1, 2 ... in the order of the calls. */
+  void send(long request, long host, double giveUpAfter);
+
+  /** Final answer "no, and trying again does no harm"; {@code coolDown} 0 gives no advice. */
+  void refuse(long request, double coolDown);
+
+  /** Final answer "failed", which promises nothing about the effect. */
+  void fail(long request);
+
+  /** Stops the wait for an attempt. */
+  void cancel(long request, int attempt);
+
+  /** Checks a host. */
+  void probe(long host);
+
+  /** Asks for {@link Balancer#onTimer} with this token after {@code delay} ms. */
+  void schedule(double delay, long token);
+
+  /** Asks discovery for changes from now on. */
+  void follow();
+
+  /** Writes a line for the people on call. */
+  void log(String line);
+}
--- /dev/null
+++ b/src/main/java/corkproxy/balancer/Admission.java
@@ -0,0 +1,131 @@
+package corkproxy.balancer;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/** Own rate and load, and early refusal when the aim can't be met. */
+final class Admission {
+  /** The part of recent requests that came from a tenant. */
+  private static final class Share {
+    final double portion;
+    double count;
+    double at;
+
+    Share(double portion) {
+      this.portion = portion;
+    }
+  }
+
+  private final SplittableRandom random;
+  private final Actions actions;
+  private final Settings settings;
+  private final Map<String, Share> shares = new HashMap<>();
+  private double sum;
+  private double servedPart = 1;
+  private double rate;
+  private double rateAt;
+  private double peak;
+  private double peakAt;
+  private int open;
+  private double pressure;
+  private double pressureAt;
+  private double meanValue;
+  private boolean overloaded;
+
+  Admission(Settings settings, SplittableRandom random, Actions actions) {
+    this.settings = settings;
+    for (Settings.Tenant t : settings.tenants()) {
+      shares.put(t.name(), new Share(t.portion()));
+    }
+    this.random = random;
+    this.actions = actions;
+  }
+
+  void arrived(double now, Settings.RequestClass rules, String tenant) {
+    Share s = shares.get(tenant);
+    double fade = Math.exp(-(now - rateAt) / Tuning.SHARE_MEMORY);
+    sum = sum * fade + 1;
+    if (s != null) {
+      s.count = s.count * Math.exp(-(now - s.at) / Tuning.SHARE_MEMORY) + 1;
+      s.at = now;
+    }
+    rate = rate(now) + 1 / Tuning.RATE_MEMORY;
+    rateAt = now;
+    meanValue += 0.02 * (rules.value() - meanValue);
+  }
+
+  /**
+   * Worth of a tenant's request, 1 within its share. Guards against a burst of one tenant that is
+   * worth little and would take the place of the others' requests.
+   */
+  double standing(String tenant) {
+    Share s = shares.get(tenant);
+    if (s == null || s.portion <= 0) {
+      return 1;
+    }
+    double part = (s.count + Tuning.SHARE_PRIOR * s.portion) / (sum + Tuning.SHARE_PRIOR);
+    return Math.min(1, Math.max(settings.overShareWorth(), s.portion / part));
+  }
+
+  /** Notes whether an attempt, or a request refused for its lateness, was of use. */
+  void ended(boolean served) {
+    servedPart += Tuning.LATENCY_ALPHA * ((served ? 1 : 0) - servedPart);
+  }
+
+  /** Own requests per ms that get served: in a jam far fewer than those that come. */
+  double servedRate(double now) {
+    return rate(now) * Math.max(Tuning.LEAST_SERVED, servedPart);
+  }
+
+  /** Own requests per ms. */
+  double rate(double now) {
+    return rate * Math.exp(-(now - rateAt) / Tuning.RATE_MEMORY);
+  }
+
+  void inFlight(double now, int change) {
+    open += change;
+    peak = Math.max(open, peak(now));
+    peakAt = now;
+  }
+
+  /** The recent peak of own attempts in flight. */
+  double peak(double now) {
+    return Math.max(open, peak * Math.exp(-(now - peakAt) / Tuning.PEAK_MEMORY));
+  }
+
+  /** Notes an answer (or the lack of one by then) against the aim of its class. */
+  void answered(double now, double elapsed, double aim) {
+    double gap = now - pressureAt;
+    pressure = pressure(now);
+    // A proxy with few requests weighs each one more, or it would learn of a jam after its end.
+    double weight = Math.min(0.3, Math.max(Tuning.LATENCY_ALPHA, gap / Tuning.PRESSURE_MEMORY));
+    pressure += weight * (Math.min(2, elapsed / aim) - pressure);
+    pressureAt = now;
+  }
+
+  /** Recent answer time as part of the aim, 0 to 2. */
+  double pressure(double now) {
+    return pressure * Math.exp(-(now - pressureAt) / Tuning.PRESSURE_FADE);
+  }
+
+  /** Whether answers come so late that a further attempt would only feed the jam. */
+  boolean jammed(double now) {
+    return pressure(now) > Tuning.REFUSE_FROM + Tuning.REFUSE_SPAN / 2;
+  }
+
+  /** Whether to refuse on arrival: as answers near the aim, ever more, the least worth first. */
+  boolean refuses(double now, Settings.RequestClass rules, double standing) {
+    double over = (pressure(now) - Tuning.REFUSE_FROM) / Tuning.REFUSE_SPAN;
+    boolean turned = overloaded ? pressure(now) < Tuning.REFUSE_FROM / 2 : over > 0.5;
+    if (turned) {
+      overloaded = !overloaded;
+      actions.log(overloaded ? "overload: refusing early" : "overload over");
+    }
+    if (over <= 0) {
+      return false;
+    }
+    double relative = meanValue > 0 ? Math.max(0.2, standing * rules.value() / meanValue) : 1;
+    return random.nextDouble() < Math.min(Tuning.REFUSE_MOST, over / relative);
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/balancer/Attempts.java
@@ -0,0 +1,188 @@
+package corkproxy.balancer;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Requests and their attempts: what has run, what may be repeated, and the retry budget. */
+final class Attempts {
+  /** One send of a request to a host. */
+  static final class Attempt {
+    final Call call;
+    final int number;
+    final Fleet.Host host;
+    final String zone;
+    final long cell;
+    final double sentAt;
+    double heldBefore = Double.NaN;
+    boolean open = true;
+    boolean mayHaveRun = true;
+    boolean cancelled;
+    Attempt before;
+    Attempt after;
+
+    Attempt(Call call, int number, Fleet.Host host, double sentAt) {
+      this.call = call;
+      this.number = number;
+      this.host = host;
+      this.zone = host.zone;
+      this.cell = host.cell;
+      this.sentAt = sentAt;
+    }
+  }
+
+  /** A client's request while it is held or has attempts out. */
+  static final class Call {
+    final long id;
+    final ClassState type;
+    final double arrivedAt;
+    final double deadline;
+    double standing = 1;
+    final List<Attempt> attempts = new ArrayList<>(2);
+    int open;
+    List<Fleet.Host> asked;
+    int awaited;
+    boolean ended;
+    boolean streaming;
+
+    Call(long id, ClassState type, double arrivedAt, double budget) {
+      this.id = id;
+      this.type = type;
+      this.arrivedAt = arrivedAt;
+      this.deadline = arrivedAt + budget;
+    }
+
+    boolean tried(Fleet.Host h) {
+      for (int i = 0; i < attempts.size(); i++) {
+        if (attempts.get(i).host == h) {
+          return true;
+        }
+      }
+      return false;
+    }
+  }
+
+  /** A class of requests with its observed answer time. */
+  static final class ClassState {
+    final Settings.RequestClass rules;
+    double meanAnswer;
+    double deviation;
+    int samples;
+
+    ClassState(Settings.RequestClass rules) {
+      this.rules = rules;
+      this.meanAnswer = rules.aim() / 4; // until answers come
+      this.deviation = meanAnswer;
+    }
+
+    void answered(double spent) {
+      samples++;
+      double alpha = Math.max(1.0 / (samples + 4), Tuning.LATENCY_ALPHA / 2);
+      deviation += alpha * (Math.abs(spent - meanAnswer) - deviation);
+      meanAnswer += alpha * (spent - meanAnswer);
+    }
+
+    /** Past this an attempt is overdue: repeating a merely long one would waste its work. */
+    double overdueAfter() {
+      return meanAnswer + Tuning.OVERDUE_DEVIATIONS * deviation;
+    }
+
+    boolean repeatable() {
+      return rules.semantics() != Settings.Semantics.AT_MOST_ONCE;
+    }
+  }
+
+  private final Settings.Limits limits;
+  private double retrySavings = Tuning.RETRY_SAVINGS;
+
+  Attempts(Settings.Limits limits) {
+    this.limits = limits;
+  }
+
+  /**
+   * The one place that decides whether a request may go to {@code target}, or be refused where
+   * {@code target} is null. Guards rule 1 (nothing after the end) and rule 2 (no effect twice).
+   */
+  boolean allowed(Call c, Fleet.Host target, double now) {
+    if (c.ended || c.streaming) {
+      return false;
+    }
+    if (target != null
+        && (!target.sendable
+            || c.attempts.size() >= limits.maxAttempts()
+            || (c.open > 0 && !limits.parallelTries())
+            || now >= c.deadline)) {
+      return false;
+    }
+    Settings.RequestClass rules = c.type.rules;
+    if (rules.semantics() == Settings.Semantics.IDEMPOTENT) {
+      return true;
+    }
+    for (int i = 0; i < c.attempts.size(); i++) {
+      Attempt a = c.attempts.get(i);
+      if (!a.mayHaveRun) {
+        continue;
+      }
+      if (rules.semantics() == Settings.Semantics.AT_MOST_ONCE
+          || now - a.sentAt >= rules.repeatWindow() - Tuning.WINDOW_MARGIN) {
+        return false;
+      }
+      boolean sameGroup =
+          switch (rules.scope()) {
+            case ALL -> true;
+            case ZONE -> target != null && a.zone != null && a.zone.equals(target.zone);
+            case CELL -> target != null && a.cell == target.cell;
+          };
+      if (!sameGroup) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  Attempt start(Call c, Fleet.Host h, double now) {
+    Attempt a = new Attempt(c, c.attempts.size(), h, now);
+    c.attempts.add(a);
+    c.open++;
+    h.inFlight++;
+    h.sentSinceReport++;
+    a.before = h.newest;
+    if (h.newest == null) {
+      h.oldest = a;
+    } else {
+      h.newest.after = a;
+    }
+    h.newest = a;
+    return a;
+  }
+
+  void finish(Attempt a, Result result) {
+    a.open = false;
+    a.mayHaveRun = !result.neverRan();
+    a.call.open--;
+    Fleet.Host h = a.host;
+    h.inFlight--;
+    if (a.before == null) {
+      h.oldest = a.after;
+    } else {
+      a.before.after = a.after;
+    }
+    if (a.after == null) {
+      h.newest = a.before;
+    } else {
+      a.after.before = a.before;
+    }
+  }
+
+  void earnRetry() {
+    retrySavings = Math.min(Tuning.RETRY_SAVINGS, retrySavings + Tuning.RETRY_RATIO);
+  }
+
+  /** Takes one retry from the budget; without it, retries would feed an overload. */
+  boolean takeRetry() {
+    if (retrySavings < 1) {
+      return false;
+    }
+    retrySavings--;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -0,0 +1,342 @@
+package corkproxy.balancer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * The decisions of one client proxy. Feed it events with a clock in ms that never goes back; it
+ * answers through {@link Actions}. Not safe for use from several threads at once.
+ */
+public final class Balancer {
+  private static final long FOLLOW_TIMER = -1;
+
+  private final Settings settings;
+  private final Actions actions;
+  private final SplittableRandom random;
+  private final Fleet fleet;
+  private final Health health;
+  private final Attempts attempts;
+  private final Admission admission;
+  private final Draw draw;
+  private final Map<String, Attempts.ClassState> classes = new HashMap<>();
+  private final Map<Long, Attempts.Call> calls = new HashMap<>();
+  private double followBackoff = Tuning.FOLLOW_BACKOFF;
+  private boolean followTimer;
+  private final boolean asks;
+
+  /** Creates an instance that knows no host yet. */
+  public Balancer(Settings settings, long seed, Actions actions) {
+    this.settings = settings;
+    this.actions = actions;
+    this.random = new SplittableRandom(seed);
+    this.fleet = new Fleet(settings);
+    this.health = new Health(random, actions);
+    this.attempts = new Attempts(settings.limits());
+    this.admission = new Admission(settings, random, actions);
+    this.draw = new Draw(settings, fleet, health, attempts, admission, random);
+    // Where hosts tell their load only when asked, and asking is cheap, light proxies ask first.
+    this.asks =
+        settings.limits().probes()
+            && settings.reportsOnProbes()
+            && !settings.reportsOnAnswers()
+            && Tuning.MIN_CHOICES * settings.fees().probe() <= Tuning.ASK_PRICE;
+    for (Settings.RequestClass c : settings.classes()) {
+      classes.put(c.name(), new Attempts.ClassState(c));
+    }
+  }
+
+  /** Called once after creation, when actions may be taken. */
+  public void onStart(double now) {
+    if (settings.mustFollow()) {
+      actions.follow();
+    }
+  }
+
+  /** News from discovery. */
+  public void onMembership(double now, News kind, List<HostEntry> entries) {
+    fleet.apply(now, kind, entries, random);
+    if (kind == News.FAILED && settings.mustFollow() && !followTimer) {
+      // Discovery is scarce: wait longer each time, at chance, but never past what is allowed.
+      followTimer = true;
+      actions.schedule(followBackoff * (0.5 + random.nextDouble()), FOLLOW_TIMER);
+      followBackoff = Math.min(2 * followBackoff, Math.max(1, settings.rules().askWithin() / 2));
+    } else if (kind == News.DELTA || kind == News.FULL) {
+      followBackoff = Tuning.FOLLOW_BACKOFF;
+    }
+  }
+
+  /** A client's request has come. */
+  public void onRequest(double now, Arrival arrival) {
+    Attempts.ClassState type = classes.computeIfAbsent(arrival.className(), n -> unknown(n, arrival));
+    Attempts.Call c = new Attempts.Call(arrival.id(), type, now, arrival.budget());
+    admission.arrived(now, type.rules, arrival.tenant());
+    c.standing = admission.standing(arrival.tenant());
+    attempts.earnRetry();
+    calls.put(c.id, c);
+    if (!asks && admission.refuses(now, type.rules, c.standing)) {
+      admission.ended(false);
+      conclude(c, now);
+    } else {
+      dispatch(c, now);
+    }
+  }
+
+  /** A class that the settings do not name: taken for the strictest kind. */
+  private static Attempts.ClassState unknown(String name, Arrival a) {
+    double budget = Math.max(1, a.budget());
+    Settings.Semantics once = Settings.Semantics.AT_MOST_ONCE;
+    return new Attempts.ClassState(
+        new Settings.RequestClass(
+            name, budget, budget, once, Settings.Scope.ALL, 0, 1, 0, false));
+  }
+
+  /** An attempt has ended. {@code over} tells that the request is over with it or before. */
+  public void onOutcome(
+      double now, long request, int number, Result result, double spent, boolean over, LoadReport load) {
+    Attempts.Call c = calls.get(request);
+    if (c == null || number < 0 || number >= c.attempts.size() || !c.attempts.get(number).open) {
+      return;
+    }
+    Attempts.Attempt a = c.attempts.get(number);
+    attempts.finish(a, result);
+    admission.inFlight(now, -1);
+    fleet.reported(a.host, now, load);
+    learn(a, result, now, spent, c);
+    if (over && !c.ended) {
+      c.ended = true;
+      cancelOthers(c, -1);
+    } else if (!c.ended && !c.streaming) {
+      again(c, now);
+    }
+    forgetIfDone(c);
+  }
+
+  private void learn(Attempts.Attempt a, Result result, double now, double spent, Attempts.Call c) {
+    Attempts.ClassState type = c.type;
+    admission.ended(result == Result.OK);
+    switch (result) {
+      case OK -> {
+        health.succeeded(a.host, now);
+        if (!c.streaming) {
+          double mean = type.meanAnswer;
+          type.answered(spent);
+          fleet.answered(a.host, now, spent / Math.max(0.1, mean));
+          fleet.queued(a.host, a.heldBefore, spent);
+          admission.answered(now, spent, type.rules.aim());
+        }
+      }
+      case ERROR -> health.failed(a.host, now, true);
+      case FULL -> {
+        // Guards against a jam that spreads: a full host is busy, not broken. Ejecting it would
+        // push its share onto hosts about as full; a full queue is long past the aim, so it
+        // counts as the worst pressure, which refuses early.
+        health.crowded(a.host, now);
+        admission.answered(now, 2 * type.rules.aim(), type.rules.aim());
+      }
+      case TIMEOUT, RESET, CONNECT_FAILED -> {
+        health.failed(a.host, now, false);
+        if (result == Result.TIMEOUT) {
+          admission.answered(now, spent, type.rules.aim());
+        }
+      }
+      case CANCELLED, MOOT -> {}
+    }
+  }
+
+  private void again(Attempts.Call c, double now) {
+    if (c.open > 0) {
+      return; // another attempt may still answer
+    }
+    if (now < c.deadline - Tuning.LAST_SEND
+        && !admission.jammed(now)
+        && attempts.takeRetry()) {
+      dispatch(c, now);
+    } else {
+      conclude(c, now);
+    }
+  }
+
+  /** The answer to a streamed request has begun; the attempt now belongs to the client. */
+  public void onFirstByte(double now, long request, int number, double spent) {
+    Attempts.Call c = calls.get(request);
+    if (c == null || c.ended || number < 0 || number >= c.attempts.size()) {
+      return;
+    }
+    Attempts.Attempt a = c.attempts.get(number);
+    if (!c.streaming) {
+      learn(a, Result.OK, now, spent, c);
+      c.streaming = true;
+      cancelOthers(c, number);
+    }
+  }
+
+  /** The client has gone; attempts that are out still get their outcome. */
+  public void onClientGone(double now, long request) {
+    Attempts.Call c = calls.get(request);
+    if (c != null && !c.ended) {
+      c.ended = true;
+      cancelOthers(c, -1);
+      forgetIfDone(c);
+    }
+  }
+
+  /** A probe has ended. */
+  public void onProbed(double now, long host, Result result, double spent, LoadReport load) {
+    Fleet.Host h = fleet.get(host);
+    if (h == null) {
+      return; // gone from every list since
+    }
+    h.asked = false;
+    fleet.reported(h, now, load);
+    if (result == Result.TIMEOUT || result == Result.CONNECT_FAILED || result == Result.RESET) {
+      health.failed(h, now, false);
+    }
+    List<Attempts.Call> askers = h.askers;
+    h.askers = new ArrayList<>(2);
+    for (Attempts.Call c : askers) {
+      if (!c.ended && c.asked != null && --c.awaited == 0) {
+        decide(c, now);
+      }
+    }
+  }
+
+  /** A timer has come due. */
+  public void onTimer(double now, long token) {
+    if (token == FOLLOW_TIMER) {
+      followTimer = false;
+      actions.follow();
+      return;
+    }
+    Attempts.Call c = calls.get(token);
+    if (c == null || c.ended || c.streaming) {
+      return;
+    }
+    if (c.asked != null) {
+      decide(c, now);
+    } else if (c.open > 0) {
+      overdue(c, now);
+    }
+  }
+
+  /**
+   * Guards against many light proxies: their own counts tie at zero, so the candidates are asked
+   * for their load first, and what they say breaks the tie. False where there is no choice.
+   */
+  private boolean ask(Attempts.Call c, double now) {
+    double patience = Tuning.ASK_PATIENCE * c.type.rules.aim();
+    if (c.deadline - now < 2 * patience) {
+      return false;
+    }
+    List<Fleet.Host> drawn = draw.candidates(c, now);
+    if (drawn.size() < 2) {
+      return false;
+    }
+    c.asked = new ArrayList<>(drawn);
+    c.awaited = 0;
+    for (Fleet.Host h : c.asked) {
+      if (!fleet.fresh(h, now)) {
+        c.awaited++;
+        h.askers.add(c);
+        if (!h.asked) {
+          h.asked = true;
+          h.askedAt = now;
+          actions.probe(h.id);
+        }
+      }
+    }
+    if (c.awaited == 0) {
+      decide(c, now);
+    } else {
+      actions.schedule(patience, c.id);
+    }
+    return true;
+  }
+
+  private void decide(Attempts.Call c, double now) {
+    List<Fleet.Host> candidates = c.asked;
+    c.asked = null;
+    begin(c, draw.choose(c, candidates, now), now);
+  }
+
+  /** The last attempt is overdue: a second copy, or where only one may be out, another in place. */
+  private void overdue(Attempts.Call c, double now) {
+    // Guards against copies of costly requests feeding a jam: only silence earns a second copy.
+    Attempts.Attempt last = c.attempts.get(c.attempts.size() - 1);
+    if (now >= c.deadline - Tuning.LAST_SEND
+        || admission.pressure(now) > Tuning.REFUSE_FROM
+        || !health.silent(last.host, now, 0.99 * c.type.overdueAfter())) {
+      return;
+    }
+    if (settings.limits().parallelTries()) {
+      Fleet.Host h = attempts.takeRetry() ? draw.pick(c, now) : null;
+      if (h != null) {
+        send(c, h, now);
+      }
+    } else if (settings.limits().cancel() && !last.cancelled) {
+      last.cancelled = true;
+      actions.cancel(c.id, last.number);
+    }
+  }
+
+  private void dispatch(Attempts.Call c, double now) {
+    if (!asks || !ask(c, now)) {
+      begin(c, draw.pick(c, now), now);
+    }
+  }
+
+  private void begin(Attempts.Call c, Fleet.Host h, double now) {
+    // Guards against a jam: where even the winner can't answer in time, no work is begun.
+    if (h == null
+        || (c.attempts.isEmpty()
+            && fleet.expectedAnswer(h, now) > Tuning.REFUSE_AT
+                    * c.type.rules.aim()
+                    * Math.max(Tuning.LEAST_STANDING, c.standing))) {
+      conclude(c, now);
+    } else {
+      send(c, h, now);
+    }
+  }
+
+  private void send(Attempts.Call c, Fleet.Host h, double now) {
+    double held = fleet.fresh(h, now) ? h.report.held() + h.sentSinceReport : Double.NaN;
+    attempts.start(c, h, now).heldBefore = held;
+    admission.inFlight(now, 1);
+    actions.send(c.id, h.id, 0);
+    double due = c.type.overdueAfter() * Math.max(1, fleet.slowness(h, now));
+    if (c.type.repeatable() && now + due < c.deadline && c.attempts.size() < 3) {
+      actions.schedule(due, c.id);
+    }
+  }
+
+  /** The final answer, where no attempt can bring it any more. */
+  private void conclude(Attempts.Call c, double now) {
+    if (attempts.allowed(c, null, now)) {
+      actions.refuse(c.id, 0);
+    } else {
+      actions.fail(c.id);
+    }
+    c.ended = true;
+    forgetIfDone(c);
+  }
+
+  private void cancelOthers(Attempts.Call c, int keep) {
+    if (c.open == 0 || !settings.limits().cancel()) {
+      return;
+    }
+    for (Attempts.Attempt a : c.attempts) {
+      if (a.open && a.number != keep && !a.cancelled) {
+        a.cancelled = true;
+        actions.cancel(c.id, a.number);
+      }
+    }
+  }
+
+  private void forgetIfDone(Attempts.Call c) {
+    if (c.ended && c.open == 0) {
+      calls.remove(c.id);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/balancer/Draw.java
@@ -0,0 +1,226 @@
+package corkproxy.balancer;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** The design's draw: from a pool, d candidates, the one with the fewest own requests wins. */
+final class Draw {
+  private final Settings settings;
+  private final Fleet fleet;
+  private final Health health;
+  private final Attempts attempts;
+  private final Admission admission;
+  private final SplittableRandom random;
+  private Fleet.Host[] local = {};
+  private Fleet.Host[] remote = {};
+  private int choices = Tuning.MIN_CHOICES;
+  private final List<Fleet.Host> drawn = new ArrayList<>();
+  private int size;
+  private Fleet.Host best;
+  private double bestCount;
+  private double bestWait;
+  private int equals;
+
+  Draw(
+      Settings settings,
+      Fleet fleet,
+      Health health,
+      Attempts attempts,
+      Admission admission,
+      SplittableRandom random) {
+    this.settings = settings;
+    this.fleet = fleet;
+    this.health = health;
+    this.attempts = attempts;
+    this.admission = admission;
+    this.random = random;
+  }
+
+  /** The host for the next attempt of the call, or null where none may or should get it. */
+  Fleet.Host pick(Attempts.Call c, double now) {
+    return choose(c, candidates(c, now), now);
+  }
+
+  /** The candidates drawn for the next attempt of the call; valid until the next draw. */
+  List<Fleet.Host> candidates(Attempts.Call c, double now) {
+    // Guards against many proxies that use up the hosts' connections together (if1c0a3).
+    double most = Tuning.HOST_PROXIES * fleet.ready().size() / settings.balancers();
+    double own = Tuning.BASE_POOL + Tuning.POOL_PER_IN_FLIGHT * admission.peak(now);
+    int wanted = (int) Math.max(Tuning.MAX_CHOICES, Math.min(own, most));
+    if (fleet.takeChanged() || wanted > size || wanted < size / 2) {
+      rebuild(wanted, now);
+    }
+    drawn.clear();
+    // Other zones are drawn from too once answers near here take a good part of the aim.
+    if (!draw(local, c, now)
+        && (drawn.isEmpty() || admission.pressure(now) > Tuning.SPILL_FROM)) {
+      draw(remote, c, now);
+    }
+    return drawn;
+  }
+
+  /** The winner of these candidates, or of the panic fallback where none can be used. */
+  Fleet.Host choose(Attempts.Call c, List<Fleet.Host> candidates, double now) {
+    best = null;
+    for (int i = 0; i < candidates.size(); i++) {
+      if (usable(candidates.get(i), c, now)) {
+        consider(candidates.get(i), now);
+      }
+    }
+    if (best == null) {
+      best = anyAllowed(c, now);
+    }
+    if (best != null && fleet.warmth(best, now) < 1) {
+      best.coldCredit--;
+    }
+    return best;
+  }
+
+  /** Adds up to d of the pool's hosts to those drawn; true if one of them is due for a trial. */
+  private boolean draw(Fleet.Host[] pool, Attempts.Call c, double now) {
+    int seen = 0;
+    for (int i = 0; i < 4 * choices && seen < choices && pool.length > 0; i++) {
+      Fleet.Host h = pool[random.nextInt(pool.length)];
+      if (drawn.contains(h) || !usable(h, c, now)) {
+        continue;
+      }
+      if (h.halfOpen && c.type.repeatable()) {
+        drawn.clear(); // a trial: an ejected host that nobody draws would stay out for ever
+        drawn.add(h);
+        return true;
+      }
+      seen++;
+      drawn.add(h);
+    }
+    return false;
+  }
+
+  private boolean usable(Fleet.Host h, Attempts.Call c, double now) {
+    return attempts.allowed(c, h, now)
+        && (c.attempts.isEmpty() || !c.tried(h))
+        && !(h.asked && now - h.askedAt >= Tuning.ASK_PATIENCE * c.type.rules.aim())
+        && health.available(h, now, c.type.overdueAfter())
+        && (fleet.warmth(h, now) >= 1 || credit(h, now));
+  }
+
+  private void consider(Fleet.Host h, double now) {
+    double count = h.inFlight + health.charge(h, now);
+    double wait = fleet.expectedWait(h, now);
+    boolean take;
+    if (best == null || count < bestCount - 0.5) {
+      take = true;
+      equals = 1;
+    } else if (count > bestCount + 0.5) {
+      take = false;
+    } else if (Math.abs(wait - bestWait) <= Tuning.WAIT_TIE * bestWait) {
+      equals++;
+      take = random.nextInt(equals) == 0;
+    } else {
+      take = wait < bestWait;
+    }
+    if (take) {
+      best = h;
+      bestCount = count;
+      bestWait = wait;
+    }
+  }
+
+  /**
+   * Guards rule 4 without agreement: each proxy lends a cold host the part of its own mean share
+   * that the host's least warmth and the fall multiple allow, so the sum over all stays inside.
+   * What counts is what hosts serve, not what clients ask: their retries multiply in a jam.
+   */
+  private boolean credit(Fleet.Host h, double now) {
+    Settings.Rules rules = settings.rules();
+    double share = admission.servedRate(now) / Math.max(1, fleet.ready().size());
+    double gain =
+        Tuning.COLD_SHARE * rules.fallMultiple() * fleet.warmth(h, now) * share * (now - h.coldCreditAt);
+    h.coldCreditAt = now;
+    h.coldCredit = Math.min(h.coldCredit + gain, 1 + share * rules.fall() / 2);
+    return h.coldCredit >= 1;
+  }
+
+  /** When the draw finds nobody: any host that may get it, healthy ones first (panic). */
+  private Fleet.Host anyAllowed(Attempts.Call c, double now) {
+    List<Fleet.Host> all = fleet.ready();
+    int n = all.size();
+    int start = n == 0 ? 0 : random.nextInt(n);
+    Fleet.Host lastResort = null;
+    for (int i = 0; i < n; i++) {
+      Fleet.Host h = all.get((start + i) % n);
+      if (!attempts.allowed(c, h, now) || (fleet.warmth(h, now) < 1 && !credit(h, now))) {
+        continue;
+      }
+      if (health.available(h, now, c.type.overdueAfter()) && !c.tried(h)) {
+        return h;
+      }
+      if (c.attempts.isEmpty() && (lastResort == null || h.inFlight < lastResort.inFlight)) {
+        lastResort = h;
+      }
+    }
+    return lastResort;
+  }
+
+  private void rebuild(int wanted, double now) {
+    size = wanted;
+    List<Fleet.Host> all = fleet.ready();
+    Fleet.Host[] near = all.stream().filter(this::isNear).toArray(Fleet.Host[]::new);
+    Fleet.Host[] far = all.stream().filter(h -> !isNear(h)).toArray(Fleet.Host[]::new);
+    local = window(near, wanted);
+    remote = window(far, wanted);
+    choices = choicesFor(local.length > 0 ? local : remote, now);
+  }
+
+  private boolean isNear(Fleet.Host h) {
+    return settings.zone() == null || settings.zone().equals(h.zone);
+  }
+
+  /** A stable, balanced subset: proxies start evenly spread over the ring of hosts. */
+  private Fleet.Host[] window(Fleet.Host[] ring, int wanted) {
+    if (ring.length <= wanted) {
+      return ring;
+    }
+    int start = (int) ((double) settings.position() * ring.length / settings.balancers());
+    Fleet.Host[] out = new Fleet.Host[wanted];
+    for (int i = 0; i < wanted; i++) {
+      out[i] = ring[Math.floorMod(start + i, ring.length)];
+    }
+    return out;
+  }
+
+  /** The paper's capacity condition: the least d with the j slowest holding C(j,d)/C(n,d). */
+  private int choicesFor(Fleet.Host[] pool, double now) {
+    int n = pool.length;
+    double[] speeds = new double[n];
+    double total = 0;
+    for (int i = 0; i < n; i++) {
+      speeds[i] = 1 / Math.max(0.05, fleet.slowness(pool[i], now));
+      total += speeds[i];
+    }
+    Arrays.sort(speeds);
+    for (int d = Tuning.MIN_CHOICES; d < Tuning.MAX_CHOICES; d++) {
+      if (meets(speeds, total, d)) {
+        return d;
+      }
+    }
+    return Tuning.MAX_CHOICES;
+  }
+
+  private static boolean meets(double[] speeds, double total, int d) {
+    int n = speeds.length;
+    double held = 0;
+    for (int j = 1; j < n; j++) {
+      held += speeds[j - 1];
+      double share = 1;
+      for (int i = 0; i < d; i++) {
+        share *= Math.max(0, (double) (j - i) / (n - i));
+      }
+      if (held < share * total) {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/balancer/Fleet.java
@@ -0,0 +1,235 @@
+package corkproxy.balancer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The host view: membership, drain state, own requests in flight, latency and load figures. */
+final class Fleet {
+  /** A host as this instance knows it. */
+  static final class Host {
+    final long id;
+    final long ring;
+    String zone;
+    String kind;
+    long cell;
+    boolean listed;
+    boolean sendable;
+    double onlineSince;
+    int listMark;
+
+    int inFlight;
+    Attempts.Attempt oldest;
+    Attempts.Attempt newest;
+    double lastAnswer = Double.NEGATIVE_INFINITY;
+
+    double slowness = 1;
+    int samples;
+    double lastSample = Double.NEGATIVE_INFINITY;
+    LoadReport report = LoadReport.NONE;
+    double reportAt = Double.NEGATIVE_INFINITY;
+    int sentSinceReport;
+    boolean asked;
+    double askedAt;
+    List<Attempts.Call> askers = new ArrayList<>(2);
+
+    double failShare;
+    int failuresInRow;
+    double charge;
+    double chargeAt;
+    int ejections;
+    double lastEjection = Double.NEGATIVE_INFINITY;
+    double ejectedUntil;
+    boolean halfOpen;
+    boolean out;
+
+    double coldCredit;
+    double coldCreditAt;
+
+    Host(long id) {
+      this.id = id;
+      long z = id * 0x9E3779B97F4A7C15L;
+      z = (z ^ (z >>> 30)) * 0xBF58476D1CE4E5B9L;
+      this.ring = z ^ (z >>> 27);
+    }
+  }
+
+  /** Speed of a kind of machine, the prior for hosts with few answers of their own. */
+  private static final class KindSpeed {
+    double slowness = 1;
+    int samples;
+    double msPerHeld;
+  }
+
+  private final Settings settings;
+  private final Map<Long, Host> byId = new HashMap<>();
+  private final List<Host> ready = new ArrayList<>();
+  private final Map<String, KindSpeed> kinds = new HashMap<>();
+  private int mark;
+  private double meanHeld;
+  private boolean anyReport;
+  private boolean changed = true;
+
+  Fleet(Settings settings) {
+    this.settings = settings;
+  }
+
+  Host get(long id) {
+    return byId.get(id);
+  }
+
+  /** Hosts that may get requests, in ring order. */
+  List<Host> ready() {
+    return ready;
+  }
+
+  /** Whether the set of ready hosts has changed since this was last asked. */
+  boolean takeChanged() {
+    boolean was = changed;
+    changed = false;
+    return was;
+  }
+
+  void apply(double now, News kind, List<HostEntry> entries, java.util.SplittableRandom random) {
+    if (kind == News.FAILED) {
+      return;
+    }
+    mark++;
+    boolean different = false;
+    for (HostEntry e : entries) {
+      Host h = byId.computeIfAbsent(e.id(), Host::new);
+      boolean sendable = e.condition() == HostEntry.Condition.READY;
+      h.zone = e.zone();
+      h.kind = e.kind();
+      h.cell = e.cell();
+      h.listMark = mark;
+      h.listed = e.condition() != HostEntry.Condition.GONE;
+      if (e.onlineSince() != h.onlineSince) {
+        h.onlineSince = e.onlineSince();
+        restarted(h, now, random);
+      }
+      different |= sendable != h.sendable;
+      h.sendable = sendable;
+    }
+    if (kind != News.DELTA) {
+      byId.values().forEach(h -> h.listed &= h.listMark == mark);
+      for (Host h : ready) {
+        if (h.listMark != mark) {
+          h.sendable = false;
+          different = true;
+        }
+      }
+    }
+    if (different) {
+      rebuild();
+    }
+    byId.values().removeIf(h -> !h.listed && h.inFlight == 0 && !h.asked); // or churn fills memory
+  }
+
+  private void restarted(Host h, double now, java.util.SplittableRandom random) {
+    // A new process owes nothing to what the old one did; its credit starts at chance, so that
+    // many proxies told at once do not all send at once.
+    h.failShare = 0;
+    h.failuresInRow = 0;
+    h.ejectedUntil = 0;
+    h.halfOpen = false;
+    h.charge = 0;
+    h.report = LoadReport.NONE;
+    h.coldCredit = random.nextDouble();
+    h.coldCreditAt = now;
+  }
+
+  private void rebuild() {
+    ready.clear();
+    for (Host h : byId.values()) {
+      if (h.sendable) {
+        ready.add(h);
+      }
+    }
+    ready.sort((a, b) -> a.ring != b.ring ? Long.compare(a.ring, b.ring) : Long.compare(a.id, b.id));
+    changed = true;
+  }
+
+  /** The least part of its capacity that a host has now: 1 when warm. */
+  double warmth(Host h, double now) {
+    double age = now - h.onlineSince;
+    double cold = settings.rules().cold();
+    if (h.onlineSince <= 0 || age >= cold) {
+      return 1;
+    }
+    double from = settings.rules().startCapacity();
+    return from + (1 - from) * Math.max(0, age) / cold;
+  }
+
+  void answered(Host h, double now, double relative) {
+    double capped = Math.min(relative, 8);
+    double own = slowness(h, now);
+    // The first answers weigh more: a light proxy would otherwise take a minute to learn.
+    h.slowness = own + Math.max(Tuning.LATENCY_ALPHA, 1.0 / (++h.samples + 2)) * (capped - own);
+    h.lastSample = now;
+    KindSpeed k = kinds.computeIfAbsent(h.kind, x -> new KindSpeed());
+    k.slowness += Math.max(Tuning.LATENCY_ALPHA / 2, 1.0 / (++k.samples + 4)) * (capped - k.slowness);
+  }
+
+  /** Learns, where a host reports that it holds many requests, how long each of them takes it. */
+  void queued(Host h, double heldBefore, double spent) {
+    double held = Double.isNaN(heldBefore) ? h.report.held() : heldBefore;
+    if (held >= Tuning.QUEUE_SEEN) {
+      KindSpeed k = kinds.computeIfAbsent(h.kind, x -> new KindSpeed());
+      double each = spent / (held + 1);
+      // The median: a few heavy requests say nothing of how long the next one will take.
+      double step = each > k.msPerHeld ? Tuning.QUEUE_STEP : -Tuning.QUEUE_STEP;
+      k.msPerHeld = k.msPerHeld == 0 ? each : k.msPerHeld * (1 + step);
+    }
+  }
+
+  /** The time (ms) that a queue reported not long ago will take; 0 where nothing tells. */
+  double expectedAnswer(Host h, double now) {
+    KindSpeed k = kinds.get(h.kind);
+    if (k == null || now - h.reportAt > Tuning.REPORT_FADE || !(h.report.held() > Tuning.QUEUE_SEEN)) {
+      return 0;
+    }
+    return k.msPerHeld * (h.report.held() + h.sentSinceReport + 1);
+  }
+
+  /** Whether the host has told its load just now. */
+  boolean fresh(Host h, double now) {
+    return now - h.reportAt <= Tuning.ASK_FRESH;
+  }
+
+  void reported(Host h, double now, LoadReport report) {
+    if (report == null || Double.isNaN(report.held())) {
+      return;
+    }
+    h.report = report;
+    h.reportAt = now;
+    h.sentSinceReport = 0;
+    anyReport = true;
+    meanHeld += 0.02 * (report.held() - meanHeld);
+  }
+
+  /**
+   * How slowly the host answers against the mean. Its own answers fade towards its kind's: or a
+   * host that was slow once would never be drawn again by a proxy whose counts are all zero.
+   */
+  double slowness(Host h, double now) {
+    KindSpeed k = kinds.get(h.kind);
+    double prior = k == null ? 1 : k.slowness;
+    return prior + (h.slowness - prior) * Math.exp(-(now - h.lastSample) / Tuning.SLOWNESS_FADE);
+  }
+
+  /** Expected wait in units of the mean answer time; decides between equal counts only. */
+  double expectedWait(Host h, double now) {
+    double slow = slowness(h, now);
+    if (!anyReport) {
+      return slow;
+    }
+    double fresh = Math.exp(-(now - h.reportAt) / Tuning.REPORT_FADE);
+    double held = meanHeld;
+    if (fresh > 0.01) {
+      held += fresh * (h.report.held() + h.sentSinceReport - meanHeld);
+    }
+    return slow * (Tuning.REPORT_BASE + held);
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/balancer/Health.java
@@ -0,0 +1,95 @@
+package corkproxy.balancer;
+
+import java.util.SplittableRandom;
+
+/** Outlier detection: silence, failures, ejection with growing back-off, half-open trials. */
+final class Health {
+  private final SplittableRandom random;
+  private final Actions actions;
+
+  Health(SplittableRandom random, Actions actions) {
+    this.random = random;
+    this.actions = actions;
+  }
+
+  /** Whether the host may be a candidate; half-open hosts get one request at a time. */
+  boolean available(Fleet.Host h, double now, double overdue) {
+    if (now < h.ejectedUntil) {
+      return false;
+    }
+    if (h.halfOpen) {
+      return h.inFlight == 0;
+    }
+    return !silent(h, now, overdue);
+  }
+
+  /**
+   * Guards against hosts that take work and answer nothing: time-outs tell of them much too late,
+   * so the time since the last answer, with work out, is held against the expected answer time.
+   */
+  boolean silent(Fleet.Host h, double now, double overdue) {
+    if (h.oldest == null) {
+      return false;
+    }
+    double since = Math.max(h.oldest.sentAt, h.lastAnswer);
+    return now - since > Math.max(Tuning.SILENCE_FLOOR, overdue * Math.max(1, h.slowness));
+  }
+
+  /** The extra count that failures charge to a host: an empty failing host must not attract. */
+  double charge(Fleet.Host h, double now) {
+    return h.charge < 0.05 ? 0 : h.charge * Math.exp(-(now - h.chargeAt) / Tuning.CHARGE_FADE);
+  }
+
+  void succeeded(Fleet.Host h, double now) {
+    h.lastAnswer = now;
+    h.failuresInRow = 0;
+    h.failShare -= Tuning.FAILURE_ALPHA * h.failShare;
+    if (h.halfOpen) {
+      h.halfOpen = false;
+      h.failShare = 0;
+      actions.log("host " + h.id + " readmitted");
+    }
+  }
+
+  void failed(Fleet.Host h, double now, boolean answered) {
+    if (answered) {
+      h.lastAnswer = now;
+    }
+    h.failuresInRow++;
+    h.failShare += Tuning.FAILURE_ALPHA * (1 - h.failShare);
+    h.charge = charge(h, now) + Tuning.FAILURE_CHARGE;
+    h.chargeAt = now;
+    if (now >= h.ejectedUntil
+        && (h.halfOpen
+            || h.failuresInRow >= Tuning.FAILURES_IN_A_ROW
+            || h.failShare >= Tuning.FAILURE_SHARE)) {
+      eject(h, now);
+    }
+  }
+
+  /** The host turned work away as full: it is charged for it, but not held to be failing. */
+  void crowded(Fleet.Host h, double now) {
+    h.lastAnswer = now;
+    h.charge = charge(h, now) + Tuning.FAILURE_CHARGE;
+    h.chargeAt = now;
+    if (h.halfOpen) {
+      h.halfOpen = false;
+      actions.log("host " + h.id + " readmitted");
+    }
+  }
+
+  private void eject(Fleet.Host h, double now) {
+    if (now - h.lastEjection > Tuning.EJECT_FORGET) {
+      h.ejections = 0;
+    }
+    double length = Math.min(Tuning.EJECT_MAX, Tuning.EJECT_BASE * Math.pow(2, h.ejections));
+    h.ejections++;
+    h.lastEjection = now;
+    // Spread, so that many proxies do not try the host again in the same moment.
+    h.ejectedUntil = now + length * (0.75 + 0.5 * random.nextDouble());
+    if (!h.halfOpen) {
+      actions.log("host " + h.id + " ejected");
+    }
+    h.halfOpen = true;
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/balancer/Result.java
@@ -0,0 +1,24 @@
+package corkproxy.balancer;
+
+/** How an attempt or a probe ended. */
+public enum Result {
+  OK(false),
+  ERROR(false),
+  FULL(true),
+  TIMEOUT(false),
+  CONNECT_FAILED(true),
+  RESET(false),
+  CANCELLED(false),
+  MOOT(true);
+
+  private final boolean neverRan;
+
+  Result(boolean neverRan) {
+    this.neverRan = neverRan;
+  }
+
+  /** Whether this result proves that the attempt had no effect. */
+  public boolean neverRan() {
+    return neverRan;
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/balancer/Settings.java
@@ -0,0 +1,73 @@
+package corkproxy.balancer;
+
+import java.util.List;
+
+/** What a deployment states at start. All times are milliseconds. */
+public record Settings(
+    List<RequestClass> classes,
+    List<Tenant> tenants,
+    Limits limits,
+    Rules rules,
+    Fees fees,
+    boolean mustFollow,
+    String zone,
+    int position,
+    int balancers,
+    double overShareWorth,
+    boolean worthByWork,
+    boolean reportsOnAnswers,
+    boolean reportsOnProbes) {
+
+  /** Copies the lists, so that settings never change. */
+  public Settings {
+    classes = List.copyOf(classes);
+    tenants = List.copyOf(tenants);
+    balancers = Math.max(1, balancers);
+  }
+
+  /** What may be repeated. */
+  public enum Semantics {
+    IDEMPOTENT,
+    DEDUPLICATED,
+    AT_MOST_ONCE
+  }
+
+  /** The hosts that share the memory of a deduplicated request. */
+  public enum Scope {
+    ALL,
+    ZONE,
+    CELL
+  }
+
+  /** A class of requests. */
+  public record RequestClass(
+      String name,
+      double aim,
+      double deadline,
+      Semantics semantics,
+      Scope scope,
+      double repeatWindow,
+      double value,
+      double lateWorth,
+      boolean streamed) {}
+
+  /** A tenant and its share. */
+  public record Tenant(String name, double quotaPerSecond, double portion) {}
+
+  /** What the deployment permits. */
+  public record Limits(
+      boolean cancel,
+      boolean probes,
+      boolean retryAfter,
+      boolean parallelTries,
+      int maxAttempts,
+      double maxRetryAfter,
+      int streamsPerConnection) {}
+
+  /** The figures of the drain and cold-host rules. */
+  public record Rules(
+      double cold, double startCapacity, double fall, double fallMultiple, double askWithin) {}
+
+  /** Prices that bear on choices. */
+  public record Fees(double crossZone, double probe, double waste) {}
+}
--- /dev/null
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -0,0 +1,136 @@
+package corkproxy.balancer;
+
+/** Every constant of the module, with its reason. None is fitted to one deployment. */
+final class Tuning {
+  private Tuning() {}
+
+  /** The least number of candidates drawn: two for the paper, one more as light proxies' counts tie. */
+  static final int MIN_CHOICES = 3;
+
+  /** The most: more would herd many proxies onto the same few hosts. */
+  static final int MAX_CHOICES = 4;
+
+  /** Hosts in the pool of a proxy with no load; enough to lose a fifth of them and still choose. */
+  static final int BASE_POOL = 6;
+
+  /** Pool hosts for each own request in flight at its recent peak, so counts stay mostly small. */
+  static final double POOL_PER_IN_FLIGHT = 3;
+
+  /** The most proxies that may share a host where pools can be kept so small. */
+  static final double HOST_PROXIES = 60;
+
+  /** How long (ms) the peak of own requests in flight is remembered; shrinking pools costs. */
+  static final double PEAK_MEMORY = 15_000;
+
+  /** Smoothing of latency figures by sample: about the last ten answers. */
+  static final double LATENCY_ALPHA = 0.1;
+
+  /** Time constant (ms) at which a host's own latency fades towards that of its kind. */
+  static final double SLOWNESS_FADE = 10_000;
+
+  /** Two expected waits closer than this part are equal, and chance decides: avoids herding. */
+  static final double WAIT_TIE = 0.1;
+
+  /** Time constant (ms) at which a load report fades towards the mean of all reports. */
+  static final double REPORT_FADE = 3_000;
+
+  /** Requests a host is taken to hold without queueing, when reports are weighed. */
+  static final double REPORT_BASE = 4;
+
+  /** Silence shorter than this (ms) is never held against a host: pauses and jitter. */
+  static final double SILENCE_FLOOR = 40;
+
+  /** Failures in a row that eject a host. */
+  static final int FAILURES_IN_A_ROW = 3;
+
+  /** Share of failures (smoothed) that ejects a host. */
+  static final double FAILURE_SHARE = 0.5;
+
+  /** Smoothing of the failure share: about the last five outcomes. */
+  static final double FAILURE_ALPHA = 0.2;
+
+  /** First ejection (ms), doubled each time up to the last. */
+  static final double EJECT_BASE = 1_000;
+
+  static final double EJECT_MAX = 8_000;
+
+  /** After this time (ms) without an ejection the back-off starts anew. */
+  static final double EJECT_FORGET = 30_000;
+
+  /** What one failure adds to a host's count, so that fast errors do not make it look idle. */
+  static final double FAILURE_CHARGE = 2;
+
+  /** Time constant (ms) at which that charge decays. */
+  static final double CHARGE_FADE = 2_000;
+
+  /** Part of the fall multiple that all proxies together may use on a cold host. */
+  static final double COLD_SHARE = 0.3;
+
+  /** The least part taken to be served: or a cold fleet that fails once would never be tried. */
+  static final double LEAST_SERVED = 0.05;
+
+  /** Time constant (ms) of the proxy's own arrival rate. */
+  static final double RATE_MEMORY = 3_000;
+
+  /** Retries earned by each request, and the most that can be saved up. */
+  static final double RETRY_RATIO = 0.2;
+
+  static final double RETRY_SAVINGS = 10;
+
+  /** An attempt is overdue this many mean deviations past the mean answer time of its class. */
+  static final double OVERDUE_DEVIATIONS = 5;
+
+  /** Time (ms) kept back from a repeat window for clocks and queues on the way. */
+  static final double WINDOW_MARGIN = 20;
+
+  /** Time (ms) before the client's own deadline below which nothing new is started. */
+  static final double LAST_SEND = 5;
+
+  /** A report of at least this many requests held tells of a queue, whatever the cores. */
+  static final double QUEUE_SEEN = 6;
+
+  /** Part by which each answer moves the median time per request held. */
+  static final double QUEUE_STEP = 0.05;
+
+  /** Part of the aim past which the expected answer of the winner is too late to begin. */
+  static final double REFUSE_AT = 0.7;
+
+  /** Pressure at which hosts of other zones are drawn from as well. */
+  static final double SPILL_FROM = 0.35;
+
+  /** Pressure (answer time as part of the aim) at which early refusal begins. */
+  static final double REFUSE_FROM = 0.4;
+
+  /** Pressure above that at which everything of mean worth would be refused. */
+  static final double REFUSE_SPAN = 0.6;
+
+  /** The most of a mean class that is refused: the rest finds out when the jam is over. */
+  static final double REFUSE_MOST = 0.9;
+
+  /** A proxy with fewer answers than one in a tenth of this time (ms) weighs each one more. */
+  static final double PRESSURE_MEMORY = 3_000;
+
+  /** Time constant (ms) at which pressure fades when no answers come: queues take long to drain. */
+  static final double PRESSURE_FADE = 10_000;
+
+  /** Time constant (ms) of tenants' parts of the own traffic. */
+  static final double SHARE_MEMORY = 10_000;
+
+  /** Requests taken to have come by portion before any is counted: a few arrivals prove nothing. */
+  static final double SHARE_PRIOR = 8;
+
+  /** The least part of the allowed queue that a tenant far over its share may still use. */
+  static final double LEAST_STANDING = 0.4;
+
+  /** Part of the aim that a request may wait for its candidates to tell their load. */
+  static final double ASK_PATIENCE = 0.1;
+
+  /** A report younger than this (ms) is used as it is: bounds what a busy proxy asks. */
+  static final double ASK_FRESH = 20;
+
+  /** The most that asking may cost, in parts of the worth of a request. */
+  static final double ASK_PRICE = 0.05;
+
+  /** First wait (ms) before discovery is asked again, doubled up to half of the time allowed. */
+  static final double FOLLOW_BACKOFF = 500;
+}
--- /dev/null
+++ b/src/main/java/corkproxy/proxy/Config.java
@@ -0,0 +1,110 @@
+package corkproxy.proxy;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import corkproxy.adapter.MalformedInputException;
+import corkproxy.adapter.SettingsReader;
+import corkproxy.balancer.Settings;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** What the platform tells one client proxy; times are milliseconds. */
+record Config(
+    String name,
+    InetSocketAddress listen,
+    InetSocketAddress discovery,
+    long seed,
+    int memoryMb,
+    int sockets,
+    JsonNode known,
+    Settings settings,
+    double connIdle,
+    double connectTimeout,
+    int maxOpen) {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** Reads the file that {@code BALANCER_CONFIG} names; the other variables win over it. */
+  static Config load(Map<String, String> env) throws ConfigException {
+    String file = env.get("BALANCER_CONFIG");
+    if (file == null || file.isEmpty()) {
+      throw new ConfigException("BALANCER_CONFIG is not set");
+    }
+    JsonNode root;
+    try {
+      root = JSON.readTree(Files.readAllBytes(Path.of(file)));
+    } catch (JsonProcessingException e) {
+      throw new ConfigException(file + ": not JSON: " + e.getOriginalMessage());
+    } catch (IOException | InvalidPathException e) {
+      throw new ConfigException(file + ": can't be read: " + e);
+    }
+    if (root == null || !root.isObject()) {
+      throw new ConfigException(file + ": not a JSON object");
+    }
+    Settings settings;
+    try {
+      settings = SettingsReader.read(root.path("settings"));
+    } catch (MalformedInputException e) {
+      throw new ConfigException(file + ": settings: " + e.getMessage());
+    }
+    JsonNode limits = root.path("limits");
+    JsonNode allowed = root.path("settings").path("limits");
+    return new Config(
+        told(env, "BALANCER_NAME", root, "name"),
+        address(told(env, "BALANCER_LISTEN", root, "listen"), "listen"),
+        address(told(env, "BALANCER_DISCOVERY", root, "discovery"), "discovery"),
+        seed(root.path("seed").asText()),
+        limits.path("memory_mb").asInt(128),
+        limits.path("sockets").asInt(1024),
+        root.path("known"),
+        settings,
+        allowed.path("connIdle").asDouble(15_000),
+        allowed.path("connectTimeout").asDouble(250),
+        allowed.path("maxOpen").asInt(Integer.MAX_VALUE));
+  }
+
+  private static String told(Map<String, String> env, String variable, JsonNode root, String key) {
+    String s = env.get(variable);
+    return s == null || s.isEmpty() ? root.path(key).asText("") : s;
+  }
+
+  private static long seed(String s) {
+    try {
+      return Long.parseUnsignedLong(s, 16);
+    } catch (NumberFormatException e) {
+      return s.hashCode() ^ System.nanoTime(); // any will do, as long as no two starts share it
+    }
+  }
+
+  private static InetSocketAddress address(String s, String what) throws ConfigException {
+    InetSocketAddress a = address(s);
+    if (a == null) {
+      throw new ConfigException(what + " is not IP:port: '" + s + "'");
+    }
+    return a;
+  }
+
+  /** An {@code IP:port}, or null if it is none; names are not looked up: there is no DNS. */
+  static InetSocketAddress address(String s) {
+    int colon = s.lastIndexOf(':');
+    byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(s.substring(0, colon));
+    if (ip == null) {
+      return null;
+    }
+    try {
+      int port = Integer.parseInt(s.substring(colon + 1));
+      return port < 0 || port > 65_535
+          ? null
+          : new InetSocketAddress(InetAddress.getByAddress(ip), port);
+    } catch (NumberFormatException | UnknownHostException e) {
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/proxy/Dispatcher.java
@@ -0,0 +1,262 @@
+package corkproxy.proxy;
+
+import corkproxy.balancer.Actions;
+import corkproxy.balancer.Arrival;
+import corkproxy.balancer.Balancer;
+import corkproxy.balancer.HostEntry;
+import corkproxy.balancer.LoadReport;
+import corkproxy.balancer.Result;
+import corkproxy.balancer.Settings;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Runs the module on the event loop: hands it one event at a time, in the order in which they
+ * came, and carries out what it asks for. What an action brings about at once waits in a queue
+ * until the module has returned.
+ */
+final class Dispatcher implements Actions {
+  /** The module's clock begins here, so that a host that started before this process has a time. */
+  private static final double CLOCK_START = 1e9;
+
+  private static final Pattern HOST = Pattern.compile("host (\\d{1,19})");
+
+  private record Event(Exchange about, Runnable what) {}
+
+  private final EventLoop loop;
+  private final Log log;
+  private final Settings settings;
+  private final Upstreams upstreams;
+  private final BodyBudget budget;
+  private final Hosts hosts;
+  private final Balancer balancer;
+  private final long startedAt = System.nanoTime();
+  private final Map<Long, Exchange> exchanges = new HashMap<>();
+  private final ArrayDeque<Event> events = new ArrayDeque<>();
+  private boolean running;
+  private long nextId;
+  private Runnable follow = () -> {};
+
+  Dispatcher(EventLoop loop, Config config, Upstreams upstreams, BodyBudget budget, Log log) {
+    this.loop = loop;
+    this.log = log;
+    this.settings = config.settings();
+    this.upstreams = upstreams;
+    this.budget = budget;
+    this.hosts = new Hosts(System.currentTimeMillis() - now());
+    this.balancer = new Balancer(settings, config.seed(), this);
+  }
+
+  double now() {
+    return CLOCK_START + (System.nanoTime() - startedAt) / 1e6;
+  }
+
+  /** Runs something on the loop after so many ms. */
+  Future<?> later(double delay, Runnable what) {
+    return loop.schedule(what, Math.max(0, (long) (delay * 1e6)), TimeUnit.NANOSECONDS);
+  }
+
+  Log log() {
+    return log;
+  }
+
+  Upstreams upstreams() {
+    return upstreams;
+  }
+
+  BodyBudget budget() {
+    return budget;
+  }
+
+  Hosts hosts() {
+    return hosts;
+  }
+
+  int maxAttempts() {
+    return settings.limits().maxAttempts();
+  }
+
+  Body newBody(long expected, boolean partial) {
+    return new Body(budget, PooledByteBufAllocator.DEFAULT, expected, partial);
+  }
+
+  /** Requests that are not over, or whose attempts are not. */
+  int open() {
+    return exchanges.size();
+  }
+
+  long newId() {
+    return nextId++;
+  }
+
+  // --- events
+
+  /** Starts the module with the list as it was last had; {@code follow} opens the watch. */
+  void start(Hosts.News known, Runnable follow) {
+    this.follow = follow;
+    deliver(null, () -> balancer.onStart(now()));
+    membership(corkproxy.balancer.News.CACHED, known);
+  }
+
+  void membership(corkproxy.balancer.News kind, Hosts.News news) {
+    Set<Host> cut = hosts.apply(news);
+    List<HostEntry> entries = news.entries();
+    deliver(null, () -> balancer.onMembership(now(), kind, entries));
+    for (Host h : cut) {
+      // Guards against a send to a host that drains or has moved while its connection comes up.
+      for (UpstreamCall call : upstreams.cut(h)) {
+        call.moot();
+      }
+    }
+    hosts.forgetGone();
+  }
+
+  void followFailed() {
+    deliver(null, () -> balancer.onMembership(now(), corkproxy.balancer.News.FAILED, null));
+  }
+
+  void arrived(Exchange e, Arrival arrival) {
+    exchanges.put(e.id, e);
+    deliver(e, () -> balancer.onRequest(now(), arrival));
+  }
+
+  void outcome(
+      Exchange e, int number, Result result, double spent, boolean over, LoadReport report) {
+    deliver(e, () -> balancer.onOutcome(now(), e.id, number, result, spent, over, report));
+  }
+
+  void firstByte(Exchange e, int number, double spent) {
+    deliver(e, () -> balancer.onFirstByte(now(), e.id, number, spent));
+  }
+
+  void clientGone(Exchange e) {
+    deliver(e, () -> balancer.onClientGone(now(), e.id));
+  }
+
+  void probed(Host host, Result result, double spent, LoadReport report) {
+    deliver(null, () -> balancer.onProbed(now(), host.id, result, spent, report));
+  }
+
+  private void deliver(Exchange about, Runnable what) {
+    events.add(new Event(about, what));
+    if (running) {
+      return;
+    }
+    running = true;
+    try {
+      Event e;
+      while ((e = events.poll()) != null) {
+        handle(e);
+      }
+    } finally {
+      running = false;
+    }
+  }
+
+  private void handle(Event e) {
+    try {
+      e.what().run();
+    } catch (RuntimeException x) {
+      // Guards against one event that ends the process: it costs its own request only.
+      log.failure("the module failed on an event", x);
+      if (e.about() != null) {
+        e.about().failUnasked();
+      }
+    }
+  }
+
+  void forget(Exchange e) {
+    exchanges.remove(e.id);
+  }
+
+  void sweep() {
+    long now = System.nanoTime();
+    upstreams.sweep(hosts.all());
+    for (Exchange e : exchanges.values().toArray(Exchange[]::new)) {
+      e.sweep(now);
+    }
+    hosts.forgetGone();
+  }
+
+  // --- actions
+
+  @Override
+  public void send(long request, long host, double giveUpAfter) {
+    Exchange e = exchanges.get(request);
+    Host h = hosts.get(host);
+    if (e != null && h != null) {
+      e.send(h, giveUpAfter);
+    } else {
+      throw new IllegalStateException("send of " + request + " to " + host + ": not known");
+    }
+  }
+
+  @Override
+  public void refuse(long request, double coolDown) {
+    Exchange e = exchanges.get(request);
+    if (e != null) {
+      e.refuse(coolDown);
+    }
+  }
+
+  @Override
+  public void fail(long request) {
+    Exchange e = exchanges.get(request);
+    if (e != null) {
+      e.fail();
+    }
+  }
+
+  @Override
+  public void cancel(long request, int attempt) {
+    Exchange e = exchanges.get(request);
+    if (e != null) {
+      e.cancel(attempt);
+    }
+  }
+
+  @Override
+  public void probe(long host) {
+    Host h = hosts.get(host);
+    if (h != null) {
+      new Probe(this, h, settings.reportsOnProbes()).start();
+    }
+  }
+
+  @Override
+  public void schedule(double delay, long token) {
+    Runnable event = () -> deliver(exchanges.get(token), () -> balancer.onTimer(now(), token));
+    Exchange e = exchanges.get(token);
+    if (e != null) {
+      e.later(delay, event);
+    } else if (token < 0) {
+      later(delay, event);
+    }
+  }
+
+  @Override
+  public void follow() {
+    follow.run();
+  }
+
+  @Override
+  public void log(String line) {
+    log.line(() -> named(line));
+  }
+
+  /** The people on call know hosts by their names, the module by numbers. */
+  private String named(String line) {
+    Matcher m = HOST.matcher(line);
+    Host h = m.find() ? hosts.get(Long.parseLong(m.group(1))) : null;
+    return h == null ? line : m.replaceFirst("host " + Matcher.quoteReplacement(h.name));
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/proxy/Exchange.java
@@ -0,0 +1,261 @@
+package corkproxy.proxy;
+
+import corkproxy.balancer.LoadReport;
+import corkproxy.balancer.Result;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One client request, from its last byte on. The only place that gives a final answer, and it
+ * gives exactly one; holds the deadline, the request and its attempts.
+ */
+final class Exchange {
+  /** A streamed answer whose host says nothing for so long (ns) has broken. */
+  private static final long HOST_STALL = 10_000_000_000L;
+
+  /** A client that takes nothing of its answer for so long (ns) has gone. */
+  static final long CLIENT_STALL = 30_000_000_000L;
+
+  final long id;
+  private final Dispatcher dispatcher;
+  private final ClientConnection client;
+  private final HttpRequest head;
+  private final Body body;
+  private final double deadlineAt;
+  private final List<Attempt> attempts = new ArrayList<>(2);
+  private final List<Future<?>> timers = new ArrayList<>(2);
+  private int open;
+  private boolean answered;
+  private Attempt stream;
+  private long progressAt;
+
+  Exchange(
+      long id,
+      Dispatcher dispatcher,
+      ClientConnection client,
+      HttpRequest head,
+      Body body,
+      double deadlineAt) {
+    this.id = id;
+    this.dispatcher = dispatcher;
+    this.client = client;
+    this.head = head;
+    this.body = body;
+    this.deadlineAt = deadlineAt;
+    Headers.dropHopByHop(head.headers());
+    if (body != null) {
+      head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size());
+    }
+    head.headers().remove(HttpHeaderNames.EXPECT);
+    later(deadlineAt - dispatcher.now(), this::timeUp);
+  }
+
+  /** Runs something later unless the request and its attempts are all over by then. */
+  void later(double delay, Runnable what) {
+    timers.add(dispatcher.later(delay, what));
+  }
+
+  boolean answered() {
+    return answered;
+  }
+
+  // --- attempts
+
+  void send(Host host, double giveUpAfter) {
+    Attempt a = new Attempt(this, dispatcher, host, attempts.size(), dispatcher.now());
+    attempts.add(a);
+    open++;
+    if (answered
+        || stream != null
+        || !host.sendable
+        || attempts.size() > dispatcher.maxAttempts()
+        || giveUpAfter < 0
+        || dispatcher.now() >= deadlineAt) {
+      a.moot();
+    } else {
+      a.start(giveUpAfter);
+    }
+  }
+
+  void cancel(int number) {
+    attempts.get(number).cancel();
+  }
+
+  ChannelFuture writeTo(Channel channel) {
+    HttpHeaders h = head.headers();
+    h.set(Headers.TIMEOUT_MS, Math.max(1, (long) (deadlineAt - dispatcher.now())));
+    List<ByteBuf> blocks = body == null ? List.of() : body.retained();
+    if (blocks.size() <= 1) {
+      ByteBuf bytes = blocks.isEmpty() ? Unpooled.EMPTY_BUFFER : blocks.get(0);
+      return channel.writeAndFlush(
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1, head.method(), head.uri(), bytes, h, Headers.NONE));
+    }
+    channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), h));
+    for (ByteBuf b : blocks) {
+      channel.write(new DefaultHttpContent(b));
+    }
+    return channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+  }
+
+  void attemptEnded(Attempt a, Result result, double spent, LoadReport report) {
+    open--;
+    dispatcher.outcome(this, a.number(), result, spent, answered, report);
+    forgetIfDone();
+  }
+
+  // --- the one final answer
+
+  void refuse(double coolDown) {
+    if (answer()) {
+      client.answer(503, coolDown);
+      forgetIfDone();
+    }
+  }
+
+  void fail() {
+    if (answer()) {
+      client.answer(dispatcher.now() >= deadlineAt ? 504 : 502, 0);
+      forgetIfDone();
+    }
+  }
+
+  /** Fails what the module has not ended, and tells it that there is nothing left to end. */
+  void failUnasked() {
+    if (!answered) {
+      fail();
+      dispatcher.clientGone(this);
+    }
+  }
+
+  void served(HttpResponse reply, Body whole) {
+    if (answer()) {
+      client.answer(reply, whole);
+    } else if (whole != null) {
+      whole.free();
+    }
+  }
+
+  private boolean answer() {
+    if (answered || stream != null) {
+      return false;
+    }
+    answered = true;
+    return true;
+  }
+
+  // --- a long answer, passed on while it comes
+
+  void beginStream(Attempt a, HttpResponse reply, long length, Body begun) {
+    stream = a;
+    progressAt = System.nanoTime();
+    client.beginStream(reply, length);
+    freeBody();
+    if (begun != null) {
+      for (ByteBuf b : begun.retained()) {
+        client.streamPart(b);
+      }
+      begun.free();
+    }
+  }
+
+  /** Guards against bodies that are held, while their long answers go out, for nothing. */
+  private void freeBody() {
+    if (body != null) {
+      body.free();
+    }
+  }
+
+  void streamPart(HttpContent part) {
+    progressAt = System.nanoTime();
+    client.streamPart(part.content().retain());
+  }
+
+  /** Sends on what has come; false if the client has enough for now. */
+  boolean flushStream() {
+    return client.flushStream();
+  }
+
+  void streamWritable() {
+    if (stream != null) {
+      progressAt = System.nanoTime();
+      stream.resumeReading();
+    }
+  }
+
+  void endStream() {
+    answered = true;
+    client.endStream();
+  }
+
+  void cutStream() {
+    answered = true;
+    client.cut();
+  }
+
+  void sweep(long now) {
+    if (stream != null
+        && !answered
+        && now - progressAt > (client.writable() ? HOST_STALL : CLIENT_STALL)) {
+      stream.broken();
+    }
+  }
+
+  // --- ends
+
+  /** The client has gone before its answer. */
+  void clientGone() {
+    if (answered) {
+      return;
+    }
+    answered = true;
+    dispatcher.clientGone(this);
+    if (stream != null && stream.open()) {
+      stream.clientGone();
+    }
+    forgetIfDone();
+  }
+
+  /** The client has gone before anything was begun. */
+  void dropUnsent() {
+    answered = true;
+    forgetIfDone();
+  }
+
+  private void timeUp() {
+    if (stream == null) {
+      for (int i = 0; i < attempts.size(); i++) {
+        if (attempts.get(i).open()) {
+          attempts.get(i).timeUp();
+        }
+      }
+      failUnasked(); // if the module holds it still, the client's time is up all the same
+    }
+  }
+
+  private void forgetIfDone() {
+    if (answered && open == 0) {
+      for (int i = 0; i < timers.size(); i++) {
+        timers.get(i).cancel(false);
+      }
+      timers.clear();
+      freeBody();
+      dispatcher.forget(this);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/proxy/Host.java
@@ -0,0 +1,23 @@
+package corkproxy.proxy;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** A host as the sockets see it: where it listens, whether it may get work, its connections. */
+final class Host {
+  final String name;
+  final long id;
+  InetSocketAddress address;
+  boolean sendable;
+  boolean listed;
+  final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>(2);
+  final Set<UpstreamCall> connecting = new LinkedHashSet<>(2);
+  int calls;
+
+  Host(String name, long id) {
+    this.name = name;
+    this.id = id;
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/proxy/Hosts.java
@@ -0,0 +1,149 @@
+package corkproxy.proxy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import corkproxy.balancer.HostEntry;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The hosts that discovery has named, and the numbers by which the module knows them. */
+final class Hosts {
+  /** One list of discovery's, checked whole before anything of it is applied. */
+  record News(long version, boolean full, List<Listed> hosts) {
+    /** The entries as the module takes them. */
+    List<HostEntry> entries() {
+      return hosts.stream().map(Listed::entry).toList();
+    }
+  }
+
+  /** One entry; an address may be absent where nothing is sent to it. */
+  record Listed(String name, InetSocketAddress address, HostEntry entry) {}
+
+  private final Map<String, Host> byName = new HashMap<>();
+  private final Map<Long, Host> byId = new HashMap<>();
+  private final double unixOffset;
+
+  /** {@code unixOffset} is Unix time less the module's clock. */
+  Hosts(double unixOffset) {
+    this.unixOffset = unixOffset;
+  }
+
+  Host get(long id) {
+    return byId.get(id);
+  }
+
+  Collection<Host> all() {
+    return byId.values();
+  }
+
+  boolean anySendable() {
+    for (Host h : byId.values()) {
+      if (h.sendable) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Reads a list in discovery's form.
+   *
+   * @throws IllegalArgumentException if it is not of that form; nothing has been changed then
+   */
+  News read(JsonNode list) {
+    JsonNode servers = list.path("servers");
+    if (!list.isObject() || !servers.isArray() || !list.path("version").canConvertToLong()) {
+      throw new IllegalArgumentException("not a list with version and servers");
+    }
+    List<Listed> listed = new ArrayList<>(servers.size());
+    for (JsonNode s : servers) {
+      String name = s.path("id").asText("");
+      InetSocketAddress address = Config.address(s.path("addr").asText(""));
+      HostEntry.Condition condition =
+          switch (s.path("state").asText("")) {
+            case "up" -> HostEntry.Condition.READY;
+            case "removed" -> HostEntry.Condition.GONE;
+            default -> HostEntry.Condition.TERMINATING; // nothing new goes to a state not known
+          };
+      if (name.isEmpty() || (address == null && condition == HostEntry.Condition.READY)) {
+        throw new IllegalArgumentException("an entry without id or address");
+      }
+      double started = s.path("started_ms").asDouble(0);
+      HostEntry entry =
+          new HostEntry(
+              number(name),
+              s.path("zone").asText(""),
+              s.path("kind").asText(""),
+              s.path("cell").asLong(0),
+              condition,
+              s.path("weight").asDouble(1),
+              started <= 0 ? 0 : Math.max(0, started - unixOffset));
+      listed.add(new Listed(name, address, entry));
+    }
+    return new News(list.path("version").asLong(), list.path("full").asBoolean(), listed);
+  }
+
+  /** Applies a list; returns the hosts to which nothing more may go as it was to go. */
+  Set<Host> apply(News news) {
+    Set<Host> cut = new HashSet<>();
+    Set<Host> named = new HashSet<>();
+    for (Listed p : news.hosts()) {
+      HostEntry e = p.entry();
+      Host h = byName.get(p.name());
+      if (h == null) {
+        h = new Host(p.name(), e.id());
+        byName.put(h.name, h);
+        byId.put(h.id, h);
+      }
+      named.add(h);
+      h.listed = e.condition() != HostEntry.Condition.GONE;
+      h.sendable = e.condition() == HostEntry.Condition.READY;
+      if (!h.sendable || !p.address().equals(h.address)) {
+        cut.add(h);
+      }
+      if (p.address() != null) {
+        h.address = p.address();
+      }
+    }
+    if (news.full()) {
+      for (Host h : byId.values()) {
+        if (!named.contains(h)) {
+          h.listed = false;
+          h.sendable = false;
+          cut.add(h);
+        }
+      }
+    }
+    return cut;
+  }
+
+  /** Guards against a fleet that churns for ever: a host that is gone and carries nothing is freed. */
+  void forgetGone() {
+    byId.values().removeIf(h -> !h.listed && h.calls == 0 && byName.remove(h.name) != null);
+  }
+
+  /**
+   * The number of a host. It comes from the name alone, as the module's ring must have the same
+   * order in every client proxy and after a restart; two names that collide move on by one.
+   */
+  private long number(String name) {
+    Host known = byName.get(name);
+    if (known != null) {
+      return known.id;
+    }
+    long h = 0xcbf29ce484222325L;
+    for (int i = 0; i < name.length(); i++) {
+      h = (h ^ name.charAt(i)) * 0x100000001b3L;
+    }
+    h &= Long.MAX_VALUE;
+    while (byId.containsKey(h)) {
+      h = (h + 1) & Long.MAX_VALUE;
+    }
+    return h;
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/proxy/Log.java
@@ -0,0 +1,56 @@
+package corkproxy.proxy;
+
+import java.io.PrintStream;
+import java.util.function.Supplier;
+
+/** Lines for the people on call, on standard error; at most so many a second, the rest is counted. */
+final class Log {
+  private static final int MAX_PER_SECOND = 50;
+
+  private final PrintStream out;
+  private long second;
+  private int written;
+  private long dropped;
+
+  Log(PrintStream out) {
+    this.out = out;
+  }
+
+  void line(String text) {
+    line(() -> text);
+  }
+
+  /** A line that is made only if it is written. */
+  void line(Supplier<String> text) {
+    if (admits()) {
+      out.println("corkproxy: " + text.get().replace('\n', ' ').replace('\r', ' '));
+    }
+  }
+
+  /** A failure of our own code, with its stack. */
+  void failure(String what, Throwable t) {
+    if (admits()) {
+      out.println("corkproxy: " + what);
+      t.printStackTrace(out);
+    }
+  }
+
+  // Guards against a log that outgrows the machine when every request has something to say.
+  private boolean admits() {
+    long now = System.nanoTime() / 1_000_000_000L;
+    if (now != second) {
+      if (dropped > 0) {
+        out.println("corkproxy: " + dropped + " lines left out");
+      }
+      second = now;
+      written = 0;
+      dropped = 0;
+    }
+    if (written >= MAX_PER_SECOND) {
+      dropped++;
+      return false;
+    }
+    written++;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -0,0 +1,171 @@
+package corkproxy.proxy;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.net.SocketException;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/** One client proxy: all of it on one event loop thread, from its start to its drain. */
+public final class Proxy {
+  /** What the JVM takes of the memory limit besides bodies. */
+  private static final long BASE_MB = 76;
+
+  private static final long LEAST_BODIES_MB = 8;
+  private static final long MOST_BODIES_MB = 116;
+  private static final long SWEEP_MS = 500;
+
+  /** After SIGTERM new connections come for 0.4 s at most; they are accepted for longer (ms). */
+  private static final long ACCEPT_MS = 800;
+
+  /** SIGKILL comes no sooner than the longest deadline and 0.7 s; a margin is kept (ms). */
+  private static final long LAST_MS = 600;
+
+  /** The longest warm-up (ms): a slow core gets a half-warm proxy in time. */
+  private static final long WARM_UP_MS = 8_000;
+
+  private static final long POLL_MS = 10;
+
+  private final Config config;
+  private final MultiThreadIoEventLoopGroup group;
+  private final EventLoop loop;
+  private final Front front;
+  private final Dispatcher dispatcher;
+  private final Discovery discovery;
+  private final CountDownLatch ended = new CountDownLatch(1);
+  private final Log log;
+  private long drainUntil;
+  private long acceptUntil;
+
+  Proxy(Config config, Log log) {
+    this.config = config;
+    this.log = log;
+    this.group = newGroup();
+    this.loop = (EventLoop) group.next();
+    Sockets sockets = new Sockets(config.sockets());
+    long bodies =
+        Math.max(LEAST_BODIES_MB, Math.min(MOST_BODIES_MB, config.memoryMb() - BASE_MB));
+    BodyBudget budget = new BodyBudget(bodies << 20);
+    Upstreams upstreams = new Upstreams(group, config, sockets, log);
+    this.dispatcher = new Dispatcher(loop, config, upstreams, budget, log);
+    this.front = new Front(dispatcher, config, sockets, budget, log);
+    this.discovery = new Discovery(group, config, dispatcher, log);
+  }
+
+  /** One event loop on a thread of its own. */
+  static MultiThreadIoEventLoopGroup newGroup() {
+    return new MultiThreadIoEventLoopGroup(
+        1, new DefaultThreadFactory("loop", true), NioIoHandler.newFactory());
+  }
+
+  /**
+   * Runs a client proxy as the environment describes it, until SIGTERM has been carried out.
+   *
+   * @throws ConfigException if there is no configuration to run with
+   */
+  public static void run(Map<String, String> env) throws ConfigException {
+    Config config = Config.load(env);
+    Proxy p = new Proxy(config, new Log(System.err));
+    p.front.warming(true);
+    p.start();
+    // An exit by SIGTERM is status 143 to the JVM, and a drain that is done is a success.
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  p.drain();
+                  p.awaitEnd();
+                  Runtime.getRuntime().halt(0);
+                },
+                "drain"));
+    try {
+      new WarmUp(config).run(WARM_UP_MS);
+    } catch (Exception e) {
+      p.log.failure("the warm-up failed", e); // a cold proxy serves too
+    }
+    p.front.warming(false);
+    p.awaitEnd();
+  }
+
+  /** Listens and starts the watch. */
+  void start() throws ConfigException {
+    try {
+      loop.submit(() -> discovery.start(config.known())).sync();
+      front.listen(group, config);
+    } catch (Exception e) {
+      group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+      if (e instanceof BindException || e instanceof SocketException) {
+        throw new ConfigException("can't listen on " + config.listen() + ": " + e.getMessage());
+      }
+      throw new ConfigException("can't start: " + e);
+    }
+    loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) front.listener().localAddress();
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  private void sweep() {
+    try {
+      dispatcher.sweep();
+      front.sweep();
+      discovery.sweep();
+    } catch (RuntimeException e) {
+      // Guards against a periodic task that ends for ever with its first exception.
+      log.failure("upkeep failed", e);
+    }
+  }
+
+  /** Begins the end: all that was taken is answered, then the process may go. */
+  void drain() {
+    loop.execute(
+        () -> {
+          double longest = 0;
+          for (var c : config.settings().classes()) {
+            longest = Math.max(longest, c.deadline());
+          }
+          long now = System.nanoTime();
+          acceptUntil = now + ACCEPT_MS * 1_000_000;
+          drainUntil = now + (long) ((longest + LAST_MS) * 1e6);
+          log.line("draining");
+          front.drain();
+          pollDrain();
+        });
+  }
+
+  private void pollDrain() {
+    long now = System.nanoTime();
+    boolean done = now >= acceptUntil && !front.busy();
+    if (done || now >= drainUntil) {
+      log.line(done ? "drained" : "drain cut short by its time");
+      front.listener().close();
+      ended.countDown();
+    } else {
+      loop.schedule(this::pollDrain, POLL_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  void awaitEnd() {
+    try {
+      ended.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Ends the loop at once. */
+  void stop() {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    ended.countDown();
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/proxy/QuietChannel.java
@@ -0,0 +1,77 @@
+package corkproxy.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+
+/** A socket that can be asked at once what the loop would hear of on its next turn only. */
+final class QuietChannel extends NioSocketChannel {
+  /** Accepts such sockets. */
+  static final class Server extends NioServerSocketChannel {
+    @Override
+    protected int doReadMessages(List<Object> accepted) throws Exception {
+      SocketChannel ch = javaChannel().accept();
+      if (ch == null) {
+        return 0;
+      }
+      accepted.add(new QuietChannel(this, ch));
+      return 1;
+    }
+  }
+
+  private final ByteBuffer one = ByteBuffer.allocate(1);
+  private boolean holding;
+
+  QuietChannel() {}
+
+  private QuietChannel(Channel parent, SocketChannel ch) {
+    super(parent, ch);
+  }
+
+  /**
+   * Whether the connection is open and nothing has come on it. Guards against a write to a pooled
+   * connection whose end waits in the kernel: the request would count as one that may have run.
+   */
+  boolean quiet() {
+    return peek() == 0;
+  }
+
+  /** Whether the other side has ended the connection; a byte that has come is held. */
+  boolean ended() {
+    int n = holding ? 1 : peek();
+    holding = n > 0;
+    return n < 0;
+  }
+
+  /** Whether a byte is held that belongs ahead of the next read. */
+  boolean holding() {
+    return holding;
+  }
+
+  /**
+   * What was read, behind the byte that was held. Guards against a byte that is handed on at once:
+   * the decoder is at work then, and can't be entered again.
+   */
+  ByteBuf behindHeld(ByteBuf read) {
+    if (!holding) {
+      return read;
+    }
+    holding = false;
+    return Unpooled.wrappedBuffer(Unpooled.copiedBuffer(one.flip()), read);
+  }
+
+  private int peek() {
+    try {
+      one.clear();
+      return javaChannel().read(one);
+    } catch (IOException e) {
+      return -1;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/proxy/Sockets.java
@@ -0,0 +1,96 @@
+package corkproxy.proxy;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * The bound over all descriptors. Idle connections, oldest first, make room for new ones: clients'
+ * for clients, and hosts' for either.
+ */
+final class Sockets {
+  /** A connection that carries nothing and may be closed to make room. */
+  interface Idle {
+    void closeIdle();
+  }
+
+  /** Descriptors of the JVM itself, the listener, discovery and what is being closed. */
+  private static final int RESERVED = 48;
+
+  /** Part of the sockets that clients may use: each of their requests needs one to a host too. */
+  private static final double CLIENT_PART = 0.6;
+
+  private final int limit;
+  private final int clientLimit;
+  private final Set<Idle> idleClients = new LinkedHashSet<>();
+  private final Set<Idle> idleUpstreams = new LinkedHashSet<>();
+  private int clients;
+  private int upstreams;
+
+  Sockets(int descriptors) {
+    this.limit = Math.max(16, descriptors - RESERVED);
+    this.clientLimit = Math.max(8, (int) (CLIENT_PART * limit));
+  }
+
+  /** Whether one more client may be accepted once something idle was closed. */
+  boolean roomForClient() {
+    while (clients >= clientLimit) {
+      if (!closeOldest(idleClients)) {
+        return false;
+      }
+    }
+    return room();
+  }
+
+  /** Whether one more connection of any kind may be opened once something idle was closed. */
+  boolean room() {
+    return !exhausted() || closeOldest(idleUpstreams) || closeOldest(idleClients);
+  }
+
+  private static boolean closeOldest(Set<Idle> idle) {
+    if (idle.isEmpty()) {
+      return false;
+    }
+    Idle oldest = idle.iterator().next();
+    idle.remove(oldest);
+    oldest.closeIdle();
+    return true;
+  }
+
+  /** Whether not one more descriptor may be taken. */
+  boolean exhausted() {
+    return clients + upstreams >= limit;
+  }
+
+  void clientOpened() {
+    clients++;
+  }
+
+  void clientClosed(Idle c) {
+    clients--;
+    idleClients.remove(c);
+  }
+
+  void upstreamOpened() {
+    upstreams++;
+  }
+
+  void upstreamClosed() {
+    upstreams--;
+  }
+
+  void clientIdle(Idle c, boolean idle) {
+    mark(idleClients, c, idle);
+  }
+
+  void upstreamIdle(Idle c, boolean idle) {
+    mark(idleUpstreams, c, idle);
+  }
+
+  private static void mark(Set<Idle> set, Idle c, boolean idle) {
+    if (idle) {
+      set.add(c);
+    } else {
+      set.remove(c);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/proxy/UpstreamCall.java
@@ -0,0 +1,76 @@
+package corkproxy.proxy;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpResponse;
+
+/** What one connection to a host carries at a time: an attempt of a request, or a probe. */
+abstract class UpstreamCall {
+  final Host host;
+  private Channel connecting;
+  private UpstreamConnection connection;
+
+  UpstreamCall(Host host) {
+    this.host = host;
+    host.calls++; // until Upstreams.end
+  }
+
+  /** Writes all of it; the future is that of the last byte. */
+  abstract ChannelFuture write(Channel channel);
+
+  /** The last byte has not gone out: there was no connection, or it went away before. */
+  abstract void notSent();
+
+  /** The host must not get it any more, and no byte of it has gone out. */
+  abstract void moot();
+
+  /** The head of the final answer. */
+  abstract void head(HttpResponse head);
+
+  /** Part of the answer's body. */
+  abstract void content(HttpContent part);
+
+  /** All that one read brought has been handed on. */
+  void readComplete() {}
+
+  /** Whether the answer may stand still, as its client decides how fast it is read. */
+  boolean mayStall() {
+    return false;
+  }
+
+  /** The answer is whole. */
+  abstract void end();
+
+  /** The connection broke, or the answer is malformed; the last byte had been written. */
+  abstract void broken();
+
+  void connecting(Channel channel) {
+    connecting = channel;
+  }
+
+  void attached(UpstreamConnection to) {
+    connecting = null;
+    connection = to;
+  }
+
+  UpstreamConnection connection() {
+    return connection;
+  }
+
+  /** Whether the last byte may have reached the host. */
+  boolean mayHaveRun() {
+    return connection != null && connection.written();
+  }
+
+  /** Ends the use of the connection, by closing it unless the answer has been read to its end. */
+  void abandon() {
+    if (connecting != null) {
+      connecting.close();
+      connecting = null;
+    }
+    if (connection != null) {
+      connection.abort(this);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/corkproxy/balancer/BalancerTest.java
@@ -0,0 +1,392 @@
+package corkproxy.balancer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import corkproxy.balancer.HostEntry.Condition;
+import corkproxy.balancer.Settings.Scope;
+import corkproxy.balancer.Settings.Semantics;
+import org.junit.jupiter.api.Test;
+
+class BalancerTest {
+  private static final String SAFE = "safe";
+  private final Bench bench = new Bench();
+
+  private Balancer balancer(Settings settings, List<HostEntry> hosts) {
+    Balancer b = new Balancer(settings, 7, bench);
+    b.onStart(bench.now);
+    b.onMembership(bench.now, News.CACHED, hosts);
+    return b;
+  }
+
+  private Balancer safe(int hosts) {
+    return balancer(
+        Bench.settings(Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL)), Bench.hosts(hosts));
+  }
+
+  private void serve(Balancer b, long id, double spent) {
+    b.onRequest(bench.now, Bench.request(id, SAFE, 800));
+    Bench.Send s = bench.last();
+    bench.now += spent;
+    b.onOutcome(bench.now, id, s.number(), Result.OK, spent, true, null);
+  }
+
+  @Test
+  void refusesAtOnceWithoutHosts() {
+    Balancer b = safe(0);
+    b.onRequest(bench.now, Bench.request(1, SAFE, 800));
+    assertThat(bench.refused).containsExactly(1L);
+  }
+
+  @Test
+  void spreadsOpenRequestsByOwnCount() {
+    Balancer b = safe(4);
+    Map<Long, Integer> counts = new HashMap<>();
+    for (int i = 0; i < 40; i++) {
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+      counts.merge(bench.last().host(), 1, Integer::sum);
+    }
+    assertThat(counts.values()).allSatisfy(n -> assertThat(n).isBetween(7, 13));
+  }
+
+  @Test
+  void leavesOutHostThatIsSilent() {
+    Balancer b = safe(4);
+    for (int i = 0; i < 200; i++) {
+      serve(b, i, 10);
+    }
+    b.onRequest(bench.now, Bench.request(1_000, SAFE, 800));
+    long silent = bench.last().host();
+    bench.now += 300;
+    for (int i = 2_000; i < 2_100; i++) {
+      serve(b, i, 1);
+      assertThat(bench.last().host()).isNotEqualTo(silent);
+    }
+  }
+
+  @Test
+  void ejectsFastFailingHostAndTriesItAgain() {
+    Balancer b = safe(5);
+    long bad = 2;
+    int first = 0;
+    int later = 0;
+    int trials = 0;
+    for (int i = 0; i < 2_000; i++) {
+      bench.now += 5;
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+      for (int k = 0; k < 3; k++) {
+        Bench.Send s = bench.last();
+        if (s.request() != i || s.number() != k) {
+          break;
+        }
+        boolean fails = s.host() == bad && bench.now < 7_000;
+        if (s.host() == bad) {
+          first += i < 100 ? 1 : 0;
+          later += i >= 100 && bench.now < 7_000 ? 1 : 0;
+          trials += bench.now >= 7_000 ? 1 : 0;
+        }
+        b.onOutcome(bench.now, i, k, fails ? Result.ERROR : Result.OK, 1, !fails, null);
+      }
+    }
+    assertThat(first).isLessThan(8);
+    assertThat(later).isBetween(1, 10);
+    assertThat(trials).isGreaterThan(50);
+  }
+
+  @Test
+  void keepsServingWhenEveryHostIsEjected() {
+    Balancer b = safe(3);
+    for (int i = 0; i < 60; i++) {
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+      b.onOutcome(bench.now, i, 0, Result.ERROR, 1, true, null);
+    }
+    int before = bench.sends.size();
+    b.onRequest(bench.now, Bench.request(100, SAFE, 800));
+    assertThat(bench.sends).hasSizeGreaterThan(before);
+    b.onOutcome(bench.now, 100, 0, Result.OK, 1, true, null);
+    assertThat(bench.logs).contains("host 0 ejected", "host 1 ejected", "host 2 ejected");
+    bench.now += 20_000;
+    for (int i = 200; i < 260; i++) {
+      serve(b, i, 5);
+    }
+    assertThat(bench.logs).contains("host 0 readmitted", "host 1 readmitted", "host 2 readmitted");
+  }
+
+  /** Full hosts are busy, not broken: none is ejected, and what piles up is refused early. */
+  @Test
+  void fullHostsAreNotEjected() {
+    Balancer b = safe(4);
+    for (int i = 0; i < 60; i++) {
+      bench.now += 20;
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+      for (int k = 0; k < 4 && bench.last().request() == i && bench.last().number() == k; k++) {
+        b.onOutcome(bench.now, i, k, Result.FULL, 1, false, null);
+      }
+    }
+    assertThat(bench.logs).noneMatch(l -> l.contains("ejected"));
+    assertThat(bench.refused).hasSize(60);
+    assertThat(bench.sends.size()).isLessThan(150);
+  }
+
+  @Test
+  void sendsNothingToDrainingHost() {
+    Balancer b = safe(3);
+    b.onMembership(bench.now, News.DELTA, List.of(Bench.host(1, Condition.TERMINATING, 0)));
+    for (int i = 0; i < 60; i++) {
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+      assertThat(bench.last().host()).isNotEqualTo(1);
+    }
+  }
+
+  @Test
+  void thinsRestartedHostIntoThePool() {
+    Balancer b = safe(6);
+    for (int i = 0; i < 1_000; i++) {
+      serve(b, i, 4);
+    }
+    b.onMembership(bench.now, News.DELTA, List.of(Bench.host(3, Condition.READY, bench.now)));
+    int cold = 0;
+    for (int i = 1_000; i < 1_500; i++) {
+      serve(b, i, 4);
+      cold += bench.last().host() == 3 ? 1 : 0;
+    }
+    // An even share would be 83; the host has 30 to 50 parts in 100 of its capacity.
+    assertThat(cold).isBetween(5, 55);
+  }
+
+  @Test
+  void unsafeRequestIsNeverRepeatedAfterTimeout() {
+    Balancer b =
+        balancer(
+            Bench.settings(Bench.type("once", Semantics.AT_MOST_ONCE, Scope.ALL)), Bench.hosts(4));
+    b.onRequest(bench.now, Bench.request(1, "once", 400));
+    b.onOutcome(bench.now + 400, 1, 0, Result.TIMEOUT, 400, false, null);
+    assertThat(bench.sends).hasSize(1);
+    assertThat(bench.failed).containsExactly(1L);
+    b.onRequest(bench.now, Bench.request(2, "once", 400));
+    b.onOutcome(bench.now, 2, 0, Result.FULL, 1, false, null);
+    assertThat(bench.sends).hasSize(3);
+  }
+
+  @Test
+  void refusesEarlyInOverloadAndRecovers() {
+    Balancer b = safe(4);
+    for (int i = 0; i < 60; i++) {
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+    }
+    bench.now += 790;
+    for (int i = 0; i < 60; i++) {
+      b.onOutcome(bench.now, i, 0, Result.OK, 790, true, null);
+    }
+    int sent = bench.sends.size();
+    for (int i = 1_000; i < 1_050; i++) {
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+    }
+    assertThat(bench.refused).hasSizeGreaterThan(20);
+    assertThat(bench.sends).hasSizeGreaterThan(sent);
+    bench.now += 60_000;
+    int refused = bench.refused.size();
+    for (int i = 2_000; i < 2_050; i++) {
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+    }
+    assertThat(bench.refused).hasSize(refused);
+  }
+
+  /** Between two time-outs of a light proxy a jam must not be forgotten (incident i6d1b83). */
+  @Test
+  void jamIsRememberedBetweenTimeouts() {
+    Balancer b = safe(4);
+    for (int i = 0; i < 60; i++) {
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+    }
+    bench.now += 790;
+    for (int i = 0; i < 60; i++) {
+      b.onOutcome(bench.now, i, 0, Result.OK, 790, true, null);
+    }
+    bench.now += 3_000;
+    for (int i = 1_000; i < 1_100; i++) {
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+    }
+    assertThat(bench.refused).hasSizeGreaterThan(60);
+  }
+
+  @Test
+  void followsAgainAfterFailureWithBackoff() {
+    Balancer b =
+        balancer(
+            Bench.settings(true, 4, true, Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL)),
+            Bench.hosts(2));
+    assertThat(bench.follows).isEqualTo(1);
+    double last = 0;
+    for (int i = 0; i < 6; i++) {
+      b.onMembership(bench.now, News.FAILED, List.of());
+      Map.Entry<Double, List<Long>> timer = bench.timers.pollFirstEntry();
+      last = timer.getKey() - bench.now;
+      bench.now = timer.getKey();
+      timer.getValue().forEach(t -> b.onTimer(bench.now, t));
+      assertThat(bench.follows).isEqualTo(i + 2);
+    }
+    assertThat(last).isBetween(2_000.0, 10_000.0);
+  }
+
+  @Test
+  void sameSeedAndEventsGiveTheSameActions() {
+    Bench other = new Bench();
+    for (Bench each : List.of(bench, other)) {
+      Balancer b =
+          new Balancer(
+              Bench.settings(Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL)), 3, each);
+      b.onMembership(each.now, News.FULL, Bench.hosts(9));
+      for (int i = 0; i < 100; i++) {
+        b.onRequest(each.now, Bench.request(i, SAFE, 800));
+      }
+    }
+    assertThat(other.sends).isEqualTo(bench.sends);
+  }
+
+  /** Guards against light proxies that choose blindly as their own counts tie at zero. */
+  @Test
+  void asksCandidatesBeforeSendingWhereOnlyProbesTellTheLoad() {
+    Balancer b =
+        balancer(
+            Bench.settings(true, 4, false, true, Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL)),
+            Bench.hosts(4));
+    b.onRequest(bench.now, Bench.request(1, SAFE, 800));
+    assertThat(bench.sends).isEmpty();
+    List<Long> asked = List.copyOf(bench.probes);
+    assertThat(asked).doesNotHaveDuplicates().hasSizeBetween(2, 4);
+    for (long host : asked) {
+      assertThat(bench.sends).isEmpty();
+      b.onProbed(bench.now, host, Result.OK, 1, held(host == asked.get(1) ? 0 : 5));
+    }
+    assertThat(bench.last().host()).isEqualTo(asked.get(1));
+  }
+
+  @Test
+  void sendsWithoutHostsThatDoNotTellTheirLoadInTime() {
+    Balancer b =
+        balancer(
+            Bench.settings(true, 4, false, true, Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL)),
+            Bench.hosts(4));
+    b.onRequest(bench.now, Bench.request(1, SAFE, 800));
+    long mute = bench.probes.get(0);
+    b.onProbed(bench.now + 1, bench.probes.get(1), Result.OK, 1, held(5));
+    assertThat(bench.sends).isEmpty();
+    bench.now = bench.timers.firstKey();
+    b.onTimer(bench.now, bench.timers.firstEntry().getValue().get(0));
+    assertThat(bench.sends).hasSize(1);
+    assertThat(bench.last().host()).isNotEqualTo(mute);
+  }
+
+  /** Guards against a few heavy requests that make every queue look too long to begin. */
+  @Test
+  void heavyAnswersDoNotMakeQueuesLookLong() {
+    Balancer b = safe(3);
+    for (int i = 0; i < 120; i++) {
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+      Bench.Send s = bench.last();
+      double spent = i % 10 == 9 ? 780 : 60;
+      bench.now += spent;
+      b.onOutcome(bench.now, i, s.number(), Result.OK, spent, true, held(10));
+    }
+    // A mean of 132 ms for 11 held makes a queue of 25 too long for the aim; a median of 60 does not.
+    int refused = bench.refused.size();
+    bench.now += 15_000; // pressure fades
+    for (long h = 0; h < 3; h++) {
+      b.onProbed(bench.now, h, Result.OK, 1, held(25));
+    }
+    b.onRequest(bench.now, Bench.request(900, SAFE, 800));
+    assertThat(bench.refused).hasSize(refused);
+  }
+
+  /** Guards against a tenant's burst that takes the place of requests within their share. */
+  @Test
+  void refusesATenantOverItsShareFirst() {
+    Balancer b =
+        balancer(
+            Bench.settings(
+                List.of(new Settings.Tenant("x", 10, 0.5), new Settings.Tenant("y", 10, 0.5)),
+                Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL)),
+            Bench.hosts(4));
+    for (int i = 0; i < 90; i++) {
+      b.onRequest(bench.now, new Arrival(i, SAFE, i % 9 == 0 ? "y" : "x", 800, Double.NaN, false));
+    }
+    bench.now += 790;
+    for (int i = 0; i < 90; i++) {
+      b.onOutcome(bench.now, i, 0, Result.OK, 300, true, null);
+    }
+    int[] refused = new int[2];
+    for (int i = 0; i < 180; i++) {
+      int before = bench.refused.size();
+      boolean y = i % 9 == 0;
+      b.onRequest(bench.now, new Arrival(1_000 + i, SAFE, y ? "y" : "x", 800, Double.NaN, false));
+      refused[y ? 1 : 0] += bench.refused.size() - before;
+    }
+    // 160 of x, 20 of y
+    assertThat(refused[0] / 160.0).isGreaterThan(1.3 * refused[1] / 20.0);
+  }
+
+  /** Guards against a jam's flood of retries that pushes a cold host over (i8a3c58). */
+  @Test
+  void jamSendsAColdHostNoMoreThanWarmOnesServe() {
+    Balancer b = safe(5);
+    int cold = 0;
+    int served = 0;
+    for (int i = 0; i < 4_000; i++) {
+      bench.now += 1;
+      if (i == 2_000) {
+        b.onMembership(
+            bench.now, News.DELTA, List.of(Bench.host(3, HostEntry.Condition.READY, bench.now)));
+      }
+      int before = bench.sends.size();
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+      for (int k = before; k < bench.sends.size(); k++) {
+        Bench.Send s = bench.sends.get(k);
+        boolean ok = k % 10 == 0; // hosts serve a tenth of what comes
+        cold += i >= 2_000 && s.host() == 3 ? 1 : 0;
+        served += i >= 2_000 && ok ? 1 : 0;
+        b.onOutcome(bench.now, i, s.number(), ok ? Result.OK : Result.FULL, 2, ok, null);
+      }
+    }
+    // A warm host serves a fifth of that, and a cold one may get at most three times as much.
+    assertThat(cold).isLessThan(3 * Math.max(10, served / 5));
+  }
+
+  /** Guards against many proxies that together use up the hosts' connections (if1c0a3). */
+  @Test
+  void manyProxiesOnFewHostsKeepSmallPools() {
+    Settings s = Bench.settings(Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL));
+    Settings many =
+        new Settings(
+            s.classes(), s.tenants(), s.limits(), s.rules(), s.fees(), false, "a", 17, 1_500, 1,
+            false, true, true);
+    Balancer b = balancer(many, Bench.hosts(40));
+    for (int i = 0; i < 500; i++) {
+      serve(b, i, 10);
+    }
+    assertThat(bench.sends.stream().map(Bench.Send::host).distinct().count()).isBetween(3L, 5L);
+  }
+
+  private static LoadReport held(double n) {
+    return new LoadReport(n, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
+  }
+
+  @Test
+  void forgetsHostsThatAreGone() {
+    Fleet fleet = new Fleet(Bench.settings(Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL)));
+    java.util.SplittableRandom random = new java.util.SplittableRandom(1);
+    List<HostEntry> three = Bench.hosts(3);
+    fleet.apply(bench.now, News.FULL, three, random);
+    HostEntry first = three.get(0);
+    HostEntry gone =
+        new HostEntry(first.id(), first.zone(), first.kind(), first.cell(), Condition.GONE, 1, 0);
+    fleet.apply(bench.now, News.DELTA, List.of(gone), random);
+    assertThat(fleet.get(first.id())).isNull();
+    fleet.apply(bench.now, News.FULL, List.of(three.get(2)), random);
+    assertThat(fleet.get(three.get(1).id())).isNull();
+    assertThat(fleet.get(three.get(2).id())).isNotNull();
+  }
+}
--- /dev/null
+++ b/src/test/java/corkproxy/proxy/DiscoveryTest.java
@@ -0,0 +1,182 @@
+package corkproxy.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** What discovery says, how its watch breaks, and what that means for connections. */
+class DiscoveryTest {
+  private static final String CLAIM = Rig.post("claim", 800, "", "x");
+
+  private static String watch(Rig rig) throws InterruptedException {
+    return rig.watches.poll(20, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void brokenWatchResumesFromTheLastVersion() throws Exception {
+    try (ScriptedServer host = ScriptedServer.host(r -> ScriptedServer.ok("x"));
+        Rig rig = new Rig()) {
+      assertThat(watch(rig)).contains("follow=1&since=1 ");
+      rig.tell(5, true, Rig.server("a", host.port()));
+      rig.news.add("");
+      assertThat(watch(rig)).contains("since=5 ");
+      assertThat(rig.call(CLAIM).status()).isEqualTo(200);
+    }
+  }
+
+  @Test
+  void malformedLineKeepsTheLastGoodListAndIsAskedForAgain() throws Exception {
+    try (ScriptedServer host = ScriptedServer.host(r -> ScriptedServer.ok("x"));
+        Rig rig = new Rig(Rig.server("a", host.port()))) {
+      for (String bad :
+          new String[] {
+            "{\"version\":2,\"full\":true,\"serv\n",
+            "{\"version\":2,\"full\":true,\"servers\":[{\"id\":\"b\",\"state\":\"up\"}]}\n",
+            "[]\n",
+            "{\"version\":2,\"full\":true}\n"
+          }) {
+        assertThat(watch(rig)).contains("since=1 ");
+        rig.news.add(bad);
+      }
+      assertThat(watch(rig)).contains("since=1 ");
+      assertThat(rig.call(CLAIM).status()).isEqualTo(200);
+      assertThat(rig.log()).contains("malformed line");
+    }
+  }
+
+  @Test
+  void silentWatchIsOpenedAnew() throws Exception {
+    try (Rig rig = new Rig()) {
+      assertThat(watch(rig)).isNotNull();
+      assertThat(watch(rig)).contains("since=1 "); // nothing was said on the first one
+    }
+  }
+
+  @Test
+  void lineInPiecesIsOneLine() throws Exception {
+    try (ScriptedServer host = ScriptedServer.host(r -> ScriptedServer.ok("x"));
+        Rig rig = new Rig()) {
+      String line = Rig.list(2, true, Rig.server("a", host.port())) + "\n";
+      rig.news.add(line.substring(0, 30));
+      rig.news.add(line.substring(30));
+      rig.news.add("");
+      watch(rig);
+      assertThat(watch(rig)).contains("since=2 ");
+    }
+  }
+
+  @Test
+  void drainingHostLosesItsIdleConnectionsAndGetsNothingNew() throws Exception {
+    for (String state : new String[] {"draining", "removed"}) {
+      CountDownLatch ended = new CountDownLatch(1);
+      ScriptedServer old =
+          new ScriptedServer(
+              p -> {
+                p.read();
+                p.write(ScriptedServer.ok("old"));
+                p.awaitEnd();
+                ended.countDown();
+              });
+      try (old;
+          ScriptedServer next = ScriptedServer.host(r -> ScriptedServer.ok("next"));
+          Rig rig = new Rig(Rig.server("a", old.port()))) {
+        assertThat(rig.call(CLAIM).text()).isEqualTo("old");
+        rig.tell(
+            2, false, Rig.server("a", old.port(), 0, state), Rig.server("b", next.port(), 0, "up"));
+        ended.await();
+        for (int i = 0; i < 5; i++) {
+          assertThat(rig.call(CLAIM).text()).isEqualTo("next");
+        }
+        assertThat(old.accepted()).isNotNull();
+        assertThat(old.acceptedMore()).isFalse();
+      }
+    }
+  }
+
+  @Test
+  void hostAbsentFromAFullListIsGone() throws Exception {
+    try (ScriptedServer a = ScriptedServer.host(r -> ScriptedServer.ok("a"));
+        ScriptedServer b = ScriptedServer.host(r -> ScriptedServer.ok("b"));
+        Rig rig = new Rig(Rig.server("a", a.port()))) {
+      rig.tell(2, true, Rig.server("b", b.port()));
+      rig.news.add("");
+      watch(rig);
+      watch(rig);
+      for (int i = 0; i < 5; i++) {
+        assertThat(rig.call(CLAIM).text()).isEqualTo("b");
+      }
+    }
+  }
+
+  @Test
+  void hostThatMovedIsReachedAtItsNewAddressOnly() throws Exception {
+    try (ScriptedServer before = ScriptedServer.host(r -> ScriptedServer.ok("before"));
+        ScriptedServer after = ScriptedServer.host(r -> ScriptedServer.ok("after"));
+        Rig rig = new Rig(Rig.server("a", before.port()))) {
+      assertThat(rig.call(CLAIM).text()).isEqualTo("before");
+      rig.tell(2, false, Rig.server("a", after.port()));
+      rig.news.add("");
+      watch(rig);
+      watch(rig);
+      assertThat(rig.call(CLAIM).text()).isEqualTo("after");
+    }
+  }
+
+  @Test
+  void askedDiscoveryIsAskedAgainByTheModuleWhenItsWatchEnds() throws Exception {
+    try (ScriptedServer host = ScriptedServer.host(r -> ScriptedServer.ok("x"));
+        Rig rig =
+            new Rig(
+                c -> {
+                  ObjectNode settings = (ObjectNode) c.get("settings");
+                  settings.put("membershipMode", "subscribe");
+                  ((ObjectNode) settings.get("rules")).put("askWithin", 10_000);
+                })) {
+      assertThat(watch(rig)).contains("since=1 ");
+      rig.tell(4, true, Rig.server("a", host.port()));
+      rig.news.add("");
+      assertThat(watch(rig)).contains("since=4 ");
+      assertThat(rig.call(CLAIM).status()).isEqualTo(200);
+    }
+  }
+
+  @Test
+  void probesBringReportsWhereAnswersDoNot() throws Exception {
+    ScriptedServer.Reply reply =
+        r -> ScriptedServer.ok(r.line().startsWith("GET /_load ") ? "rif=2,fail_rate=0" : "x");
+    try (ScriptedServer a = ScriptedServer.host(reply);
+        ScriptedServer b = ScriptedServer.host(reply);
+        Rig rig =
+            new Rig(
+                c -> ((ObjectNode) c.get("settings").get("report")).put("how", "probe"),
+                Rig.server("a", a.port()),
+                Rig.server("b", b.port()))) {
+      assertThat(rig.call(Rig.get("read", 800)).text()).isEqualTo("x");
+      assertThat(a.request().line()).startsWith("GET /_load ");
+      assertThat(b.request().line()).startsWith("GET /_load ");
+    }
+  }
+
+  @Test
+  void connectUnderWayIsGivenUpWhenItsHostDrains() throws Exception {
+    try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        Peer first = Peer.connect(full.getLocalPort());
+        Peer second = Peer.connect(full.getLocalPort());
+        Rig rig =
+            new Rig(
+                // Nothing but the drain can end the connect before the test's reads give up.
+                c -> ((ObjectNode) c.get("settings").get("limits")).put("connectTimeout", 600_000),
+                Rig.server("a", full.getLocalPort()));
+        Peer client = rig.client()) {
+      assertThat(first.socket.isConnected() && second.socket.isConnected()).isTrue(); // it is full
+      client.write(Rig.post("claim", 600_000, "", "x"));
+      rig.tell(2, false, Rig.server("a", full.getLocalPort(), 0, "draining"));
+      assertThat(client.read().status()).isEqualTo(503);
+    }
+  }
+}
