Reload the configuration on SIGHUP instead of ending

Discovery's address now comes from the file first, as the environment of a process can't change, and the watch moves to it from the last version on.

--- a/src/main/java/corkproxy/proxy/Config.java
+++ b/src/main/java/corkproxy/proxy/Config.java
@@ -31,7 +31,10 @@
     int maxOpen) {
   private static final ObjectMapper JSON = new ObjectMapper();
 
-  /** Reads the file that {@code BALANCER_CONFIG} names; the other variables win over it. */
+  /**
+   * Reads the file that {@code BALANCER_CONFIG} names. The other variables win over it, but for
+   * discovery's address: the file is replaced while the process runs, its environment never is.
+   */
   static Config load(Map<String, String> env) throws ConfigException {
     String file = env.get("BALANCER_CONFIG");
     if (file == null || file.isEmpty()) {
@@ -59,7 +62,8 @@
     return new Config(
         told(env, "BALANCER_NAME", root, "name"),
         address(told(env, "BALANCER_LISTEN", root, "listen"), "listen"),
-        address(told(env, "BALANCER_DISCOVERY", root, "discovery"), "discovery"),
+        address(
+            root.path("discovery").asText(env.getOrDefault("BALANCER_DISCOVERY", "")), "discovery"),
         seed(root.path("seed").asText()),
         limits.path("memory_mb").asInt(128),
         limits.path("sockets").asInt(1024),
--- a/src/main/java/corkproxy/proxy/Discovery.java
+++ b/src/main/java/corkproxy/proxy/Discovery.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
@@ -53,13 +54,13 @@
 
   private final Dispatcher dispatcher;
   private final Log log;
-  private final InetSocketAddress address;
+  private InetSocketAddress address;
   private final boolean asked;
   private final Bootstrap bootstrap;
   private long version;
   private long backoff = BACKOFF_MS;
   private Watch watch;
-  private long opened;
+  private Future<?> reopening;
 
   Discovery(EventLoopGroup loop, Config config, Dispatcher dispatcher, Log log) {
     this.dispatcher = dispatcher;
@@ -93,8 +94,26 @@
     }
   }
 
-  /** Opens the watch, in place of one that is open. */
+  /**
+   * Discovery has moved: watches it at its new address from the last version on. Guards against a
+   * wait for the old one, which may stay open and say nothing more. Harmless where it has not moved.
+   */
+  void moveTo(InetSocketAddress to) {
+    if (to.equals(address)) {
+      return;
+    }
+    log.line("watch: discovery moves from " + address + " to " + to);
+    address = to;
+    backoff = BACKOFF_MS;
+    open();
+  }
+
+  /** Opens the watch, in place of one that is open or waits to be opened. */
   private void open() {
+    if (reopening != null) {
+      reopening.cancel(false);
+      reopening = null;
+    }
     if (watch != null) {
       Watch old = watch;
       watch = null;
@@ -127,7 +146,7 @@
     }
     long wait = backoff / 2 + (long) (Math.random() * backoff);
     backoff = Math.min(2 * backoff, BACKOFF_MAX_MS);
-    dispatcher.later(wait, this::open);
+    reopening = dispatcher.later(wait, this::open);
   }
 
   private final class Watch extends ChannelInboundHandlerAdapter {
@@ -239,7 +258,8 @@
     }
 
     private void apply(Hosts.News news) {
-      if (news.version() < version) {
+      // A whole list that opens a watch is all that this discovery knows, whatever it counts from.
+      if (news.version() < version && (good || !news.full())) {
         log.line("watch: version " + news.version() + " is older than " + version + ", left out");
         return;
       }
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -83,6 +83,7 @@
                   Runtime.getRuntime().halt(0);
                 },
                 "drain"));
+    Reload.onHangUp(env, p, p.log);
     try {
       new WarmUp(config).run(WARM_UP_MS);
     } catch (Exception e) {
@@ -126,6 +127,11 @@
     }
   }
 
+  /** Takes over what of a new configuration may change while requests are under way. */
+  void reload(Config fresh) {
+    loop.execute(() -> discovery.moveTo(fresh.discovery()));
+  }
+
   /** Begins the end: all that was taken is answered, then the process may go. */
   void drain() {
     loop.execute(
--- a/src/test/java/corkproxy/proxy/JarIT.java
+++ b/src/test/java/corkproxy/proxy/JarIT.java
@@ -1,5 +1,6 @@
 package corkproxy.proxy;
 
+import static java.nio.file.StandardCopyOption.REPLACE_EXISTING;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
@@ -8,6 +9,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -49,6 +52,19 @@
       awaitReady();
     }
 
+    /** The same configuration but for discovery's address, in a file of its own. */
+    Path newConfig(ScriptedServer discovery, ScriptedServer host) throws IOException {
+      return Rig.config(
+          discovery.port(),
+          c -> c.put("listen", "127.0.0.1:" + port),
+          Rig.server("a", host.port()));
+    }
+
+    void signal(String name) throws Exception {
+      String pid = Long.toString(process.pid());
+      assertThat(new ProcessBuilder("kill", "-" + name, pid).start().waitFor()).isZero();
+    }
+
     private void awaitReady() throws Exception {
       for (int i = 0; i < 2_000; i++) {
         try (Peer c = Peer.connect(port)) {
@@ -145,6 +161,33 @@
     }
   }
 
+  @Test
+  void hangUpMovesTheWatchAndEndsNothing() throws Exception {
+    BlockingQueue<String> asked = new LinkedBlockingQueue<>();
+    try (ScriptedServer host = ScriptedServer.host(r -> ScriptedServer.ok("served"));
+        ScriptedServer moved =
+            new ScriptedServer(
+                p -> {
+                  asked.add(p.read().line());
+                  p.awaitEnd();
+                });
+        Running proxy = new Running(host);
+        Peer client = Peer.connect(proxy.port)) {
+      for (String file : new String[] {"{", null}) { // one that can't be read, and a good one
+        if (file == null) {
+          Files.move(proxy.newConfig(moved, host), proxy.config, REPLACE_EXISTING);
+        } else {
+          Files.writeString(proxy.config, file);
+        }
+        proxy.signal("HUP");
+        client.write(Rig.post("claim", 800, "", "x"));
+        assertThat(client.read().text()).isEqualTo("served");
+      }
+      assertThat(asked.poll(20, TimeUnit.SECONDS)).contains("follow=1&since=1 ");
+      assertThat(proxy.process.isAlive()).isTrue();
+    }
+  }
+
   @Test
   void proxyWithoutConfigurationEndsWithOneLine() throws Exception {
     Process p = start(null, "proxy");
