Take on only well-formed requests and answers, and let silent clients go

And 8 answers with a header line without a colon were served: Netty's response decoder takes such a line for a field with no value. Ruled out: surplus behind answers, duplicate lengths and 1xx answers, which were handled. Requests are now checked for form, class, deadline and id before anything is sent; ids stay known for 2 s after their end; answers need a colon in each line, one length and at most 64 KiB; the streaming of longer ones goes.

--- a/src/main/java/corkproxy/proxy/Attempt.java
+++ b/src/main/java/corkproxy/proxy/Attempt.java
@@ -23,7 +23,6 @@
   private Body body;
   private long length;
   private long passed;
-  private boolean streaming;
   private boolean over;
 
   Attempt(Exchange exchange, Dispatcher dispatcher, Host host, int number, double sentAt) {
@@ -67,21 +66,11 @@
 
   /** Nobody waits any longer. What was not written whole never ran, whatever it waited for. */
   void timeUp() {
-    if (streaming) {
-      return; // a begun answer has no deadline
-    }
     finish(mayHaveRun() ? Result.TIMEOUT : Result.MOOT);
   }
 
   void cancel() {
-    if (!streaming) {
-      finish(mayHaveRun() ? Result.CANCELLED : Result.MOOT);
-    }
-  }
-
-  /** The client of a streamed answer has gone. */
-  void clientGone() {
-    finish(Result.CANCELLED);
+    finish(mayHaveRun() ? Result.CANCELLED : Result.MOOT);
   }
 
   @Override
@@ -95,6 +84,14 @@
       }
       head = reply;
       length = HttpUtil.getContentLength(reply, -1L);
+      // Guards against an answer that is said to be larger than any may be, and goes on coming; and
+      // against one whose end, for want of a length, looks like a connection that broke half way.
+      if (length > Body.MAX
+          || (length < 0
+              && !HttpUtil.isTransferEncodingChunked(reply)
+              && HttpUtil.isKeepAlive(reply))) {
+        broken();
+      }
       return;
     }
     boolean turnedAway =
@@ -111,18 +108,6 @@
       broken(); // larger than any answer may be
       return;
     }
-    if (!streaming && n > 0 && Math.max(length, passed) > BodyBudget.SMALL) {
-      streaming = true;
-      exchange.beginStream(this, head, length, body);
-      body = null;
-      dispatcher.firstByte(exchange, number, dispatcher.now() - sentAt);
-    }
-    if (streaming) {
-      if (!over) {
-        exchange.streamPart(part);
-      }
-      return;
-    }
     if (n > 0) {
       if (body == null) {
         body = dispatcher.newBody(length, false);
@@ -135,43 +120,23 @@
     }
   }
 
-  @Override
-  void readComplete() {
-    // Guards against a client that reads slowly: what it does not take stays with the host.
-    if (streaming && !exchange.flushStream()) {
-      connection().channel().config().setAutoRead(false);
-    }
-  }
-
-  /** The client takes more, or memory is free again. */
+  /** Memory is free again. */
   void resumeReading() {
     if (!over && connection() != null) {
       connection().channel().config().setAutoRead(true);
     }
   }
 
-  @Override
-  boolean mayStall() {
-    return streaming;
-  }
-
   @Override
   void end() {
-    if (streaming) {
-      exchange.endStream();
-    } else {
-      Body whole = body;
-      body = null;
-      exchange.served(head, whole);
-    }
+    Body whole = body;
+    body = null;
+    exchange.served(head, whole);
     finish(Result.OK);
   }
 
   @Override
   void broken() {
-    if (streaming) {
-      exchange.cutStream();
-    }
     finish(Result.RESET);
   }
 
--- a/src/main/java/corkproxy/proxy/Body.java
+++ b/src/main/java/corkproxy/proxy/Body.java
@@ -11,7 +11,7 @@
  */
 final class Body {
   /** The most that the protocol lets a body hold. */
-  static final long MAX = 32L << 20;
+  static final long MAX = 64 * 1024;
 
   private static final int BLOCK = 64 * 1024;
   private static final int FIRST = 512;
--- a/src/main/java/corkproxy/proxy/ClientConnection.java
+++ b/src/main/java/corkproxy/proxy/ClientConnection.java
@@ -8,12 +8,11 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -25,10 +24,12 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
@@ -38,6 +39,9 @@
   static final class Decoder extends HttpRequestDecoder {
     private boolean receiving;
 
+    private boolean deaf;
+    private int discarded;
+
     Decoder() {
       super(Upstreams.DECODER);
     }
@@ -45,22 +49,50 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) throws Exception {
       receiving = true;
+      if (deaf) {
+        // Guards against the work of taking apart, at full speed, what nobody will look at.
+        discarded += ((ByteBuf) msg).readableBytes();
+        ReferenceCountUtil.release(msg);
+        if (discarded > DISCARD_BYTES) {
+          ctx.close();
+        }
+        return;
+      }
       super.channelRead(ctx, ((QuietChannel) ctx.channel()).behindHeld((ByteBuf) msg));
     }
 
     boolean surplus() {
       return actualReadableBytes() > 0;
     }
+
+    /** Guards against a request hidden in the body of another (RFC 9112, 6.1). */
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+      throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+    }
   }
 
   /** The longest time (ms) a client may ask for; longer ones are cut to it. */
   private static final double MAX_TIMEOUT_MS = 600_000;
 
-  /** How long (ns) a head may take, and a body may stand still. */
-  private static final long SLOW_NANOS = 10_000_000_000L;
+  /** Longest run of digits in a deadline, for it to be at most {@link #MAX_TIMEOUT_MS}. */
+  private static final int TIMEOUT_DIGITS = 6;
+
+  /** How long (ns) a request may take to come whole. */
+  private static final long SLOW_NANOS = 1_900_000_000L;
+
+  /** How long (ns) a connection may stand before its first request, and between two. */
+  private static final long UNUSED_NANOS = 2_100_000_000L;
+
+  private static final long IDLE_NANOS = 3_000_000_000L;
 
   /** How long (ms) the rest of a rejected message is read, so that the client sees its answer. */
-  private static final long LINGER_MS = 1_000;
+  private static final long LINGER_MS = 500;
+
+  /** The most that is read of such a rest. */
+  private static final int DISCARD_BYTES = 256 * 1024;
+
+  private static final int MAX_NAME = 128;
 
   /** The longest (ms) that a request waits for memory, and no longer than half of its time. */
   private static final double MAX_PAUSE_MS = 400;
@@ -68,8 +100,6 @@
   /** A request that is whole so soon (ns) after a pause had been waiting in its socket. */
   private static final long JUST_NOW_NANOS = 20_000_000L;
 
-  private static final String NO_CLASS = "?";
-
   private final Front front;
   private final QuietChannel channel;
   private final Decoder decoder;
@@ -90,6 +120,8 @@
   private Future<?> pauseEnd;
   private long receivingSince;
   private long writingSince;
+  private long idleSince = System.nanoTime();
+  private boolean used;
 
   /** {@code overflow} marks a connection beyond what is allowed: its request is refused. */
   ClientConnection(Front front, QuietChannel channel, Decoder decoder, boolean overflow) {
@@ -162,7 +194,6 @@
       begin(request);
     }
     if (part instanceof HttpContent content && !rejected) {
-      receivingSince = System.nanoTime();
       ByteBuf bytes = content.content();
       if (bytes.isReadable()) {
         append(bytes);
@@ -175,26 +206,19 @@
 
   private void begin(HttpRequest request) {
     front.sockets().clientIdle(this, false);
+    used = true;
     head = request;
-    HttpHeaders h = request.headers();
     closing = !HttpUtil.isKeepAlive(request);
     health = request.uri().equals("/_health");
     HttpMethod method = request.method();
     if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
       reject(505);
-    } else if (method.equals(HttpMethod.CONNECT)
-        || method.equals(HttpMethod.TRACE)
-        || method.equals(HttpMethod.HEAD)) {
+    } else if (!method.equals(HttpMethod.GET) && !method.equals(HttpMethod.POST)) {
       reject(405);
     } else if (HttpUtil.getContentLength(request, 0L) > Body.MAX) {
       reject(413);
     } else if (!health) {
-      String id = h.get(Headers.REQUEST_ID);
-      type = type(request);
-      timeout = timeout(h.get(Headers.TIMEOUT_MS));
-      if (id == null || id.isBlank() || Double.isNaN(timeout)) {
-        reject(400);
-      }
+      check(request);
     }
     if (!rejected && HttpUtil.is100ContinueExpected(request)) {
       channel.writeAndFlush(
@@ -203,47 +227,91 @@
     }
   }
 
+  /**
+   * Takes on only what has the form of the protocol. Guards against hosts that are blamed for
+   * turning away, or end a connection over, what no client should have sent; also against names and
+   * ids of any length that we would keep. It does harm if the protocol gains a form not known here.
+   */
+  private void check(HttpRequest request) {
+    HttpHeaders h = request.headers();
+    String id = single(h, Headers.REQUEST_ID);
+    String named = single(h, Headers.CLASS);
+    type = named == null ? pathClass(request.uri()) : named;
+    Settings.RequestClass c = front.type(type);
+    if (id == null
+        || id.isBlank()
+        || single(h, HttpHeaderNames.HOST) == null
+        || !onceAtMost(h, Headers.CLASS, Headers.TIMEOUT_MS, Headers.IDEMPOTENCY_KEY)) {
+      reject(400);
+    } else if (c == null || !type.equals(pathClass(request.uri()))) {
+      reject(404);
+    } else if (!fits(c, request)) {
+      reject(400);
+    } else {
+      timeout = timeout(h.get(Headers.TIMEOUT_MS), c);
+      if (Double.isNaN(timeout)) {
+        reject(400);
+      } else if (front.dispatcher().known(id)) {
+        reject(409); // the id of another request, which alone has a claim to its answer
+      }
+    }
+  }
+
+  /** A header's value where it is there once and of a sane length, else null. */
+  private static String single(HttpHeaders h, AsciiString name) {
+    List<String> all = h.getAll(name);
+    return all.size() == 1 && all.get(0).length() <= MAX_NAME ? all.get(0) : null;
+  }
+
+  private static boolean onceAtMost(HttpHeaders h, AsciiString... names) {
+    for (AsciiString name : names) {
+      if (h.contains(name) && single(h, name) == null) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** The wait a client states, NaN if it is no number. Without one it is that of the class. */
-  private double timeout(String s) {
+  private static double timeout(String s, Settings.RequestClass c) {
     if (s == null) {
-      Settings.RequestClass c = front.type(type);
-      return c == null ? 1_000 : c.deadline();
+      return c.deadline();
     }
-    try {
-      double ms = Double.parseDouble(s.trim());
-      return ms >= 0 ? Math.min(ms, MAX_TIMEOUT_MS) : Double.NaN;
-    } catch (NumberFormatException e) {
+    if (s.isEmpty() || s.length() > TIMEOUT_DIGITS) {
       return Double.NaN;
     }
+    for (int i = 0; i < s.length(); i++) {
+      if (s.charAt(i) < '0' || s.charAt(i) > '9') {
+        return Double.NaN;
+      }
+    }
+    return Math.min(Integer.parseInt(s), MAX_TIMEOUT_MS);
   }
 
-  /**
-   * The class as the module may know it. What the settings don't name, or what lacks the form that
-   * makes its class repeatable, is no class: the module takes it for unsafe. The module keeps a
-   * state for each class, so the names that clients make up must not reach it.
-   */
-  private String type(HttpRequest request) {
-    String name = request.headers().get(Headers.CLASS);
-    if (name == null) {
-      String path = request.uri();
-      int from = path.startsWith("/") ? 1 : 0;
-      int to = from;
-      while (to < path.length() && path.charAt(to) != '/' && path.charAt(to) != '?') {
-        to++;
-      }
-      name = path.substring(from, to);
+  /** The first part of a path, empty where there is none. */
+  private static String pathClass(String uri) {
+    if (!uri.startsWith("/")) {
+      return "";
     }
-    Settings.RequestClass c = front.type(name);
-    if (c == null) {
-      return NO_CLASS;
+    int to = 1;
+    while (to < uri.length() && uri.charAt(to) != '/' && uri.charAt(to) != '?') {
+      to++;
     }
-    boolean fits =
-        switch (c.semantics()) {
-          case IDEMPOTENT -> request.method().equals(HttpMethod.GET);
-          case DEDUPLICATED -> request.headers().contains(Headers.IDEMPOTENCY_KEY);
-          case AT_MOST_ONCE -> true;
-        };
-    return fits ? name : NO_CLASS;
+    return uri.substring(1, to);
+  }
+
+  /** Whether a request has the form that its class asks for, and so may be repeated as it may. */
+  private static boolean fits(Settings.RequestClass c, HttpRequest request) {
+    boolean post = request.method().equals(HttpMethod.POST);
+    return switch (c.semantics()) {
+      case IDEMPOTENT ->
+          !post
+              && HttpUtil.getContentLength(request, 0L) == 0
+              && !HttpUtil.isTransferEncodingChunked(request);
+      case DEDUPLICATED ->
+          post && !request.headers().get(Headers.IDEMPOTENCY_KEY, "").isBlank();
+      case AT_MOST_ONCE -> post;
+    };
   }
 
   private void append(ByteBuf bytes) {
@@ -326,7 +394,13 @@
     // Time in our own queue comes off the client's budget: its last byte may have waited there.
     long waited = System.nanoTime() - resumedAt < JUST_NOW_NANOS ? resumedAt - pausedAt : 0;
     double budget = Math.max(0, timeout - waited / 1e6);
-    exchange = new Exchange(d.newId(), d, this, request, whole, d.now() + budget);
+    String id = request.headers().get(Headers.REQUEST_ID);
+    if (d.known(id)) { // it has come elsewhere while this one's body was on its way
+      free(whole);
+      reject(409);
+      return;
+    }
+    exchange = new Exchange(d.newId(), id, d, this, request, whole, d.now() + budget);
     if (channel.ended()) {
       // Guards against work for clients that left while the loop was behind: each send would be
       // called off at once, at the price of its connection, and the loop fall further behind.
@@ -415,43 +489,6 @@
     }
   }
 
-  void beginStream(HttpResponse reply, long length) {
-    HttpHeaders h = reply.headers();
-    Headers.dropHopByHop(h);
-    DefaultHttpResponse r =
-        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, h);
-    if (length < 0) {
-      h.remove(HttpHeaderNames.CONTENT_LENGTH);
-      HttpUtil.setTransferEncodingChunked(r, true);
-    }
-    markClose(r);
-    channel.write(r);
-  }
-
-  void streamPart(ByteBuf bytes) {
-    channel.write(new DefaultHttpContent(bytes));
-  }
-
-  boolean flushStream() {
-    channel.flush();
-    return channel.isWritable();
-  }
-
-  boolean writable() {
-    return channel.isWritable();
-  }
-
-  void endStream() {
-    answered(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
-  }
-
-  /** Ends an answer that can't be finished so that the client sees it is not whole. */
-  void cut() {
-    exchange = null;
-    channel.config().setSoLinger(0);
-    channel.close();
-  }
-
   private void answered(ChannelFuture written) {
     exchange = null;
     if (closing) {
@@ -465,6 +502,7 @@
     if (!ahead.isEmpty()) {
       takeAhead();
     } else if (!decoder.receiving) {
+      idleSince = System.nanoTime();
       front.sockets().clientIdle(this, true);
     }
   }
@@ -486,6 +524,7 @@
   /** Answers what can't be a request and ends the connection. */
   private void reject(int status) {
     rejected = true;
+    decoder.deaf = true;
     endPause();
     dropRequest();
     closing = true;
@@ -499,6 +538,7 @@
    */
   private void linger() {
     rejected = true;
+    decoder.deaf = true;
     if (!channel.isActive()) {
       return;
     }
@@ -507,13 +547,6 @@
     channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
   }
 
-  @Override
-  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    if (exchange != null && channel.isWritable()) {
-      exchange.streamWritable();
-    }
-  }
-
   // --- upkeep
 
   /** Whether it carries a request, or part of one, or an answer that is not written yet. */
@@ -523,7 +556,11 @@
 
   @Override
   public void closeIdle() {
-    channel.close();
+    if (channel.ended() || !channel.holding()) {
+      channel.close();
+    } else {
+      decoder.receiving = true; // a request has come in this moment: it is taken
+    }
   }
 
   void sweep(long now) {
@@ -538,6 +575,14 @@
       reject(408);
     } else if (writingSince != 0 && now - writingSince > Exchange.CLIENT_STALL) {
       channel.close();
+    } else if (!busy() && now - idleSince > (used ? IDLE_NANOS : UNUSED_NANOS)) {
+      // Guards against connections that are kept for good and asked nothing: each holds a descriptor.
+      closeIdle();
     }
   }
+
+  @Override
+  public boolean used() {
+    return used;
+  }
 }
--- a/src/main/java/corkproxy/proxy/Dispatcher.java
+++ b/src/main/java/corkproxy/proxy/Dispatcher.java
@@ -41,6 +41,7 @@
   private final Balancer balancer;
   private final long startedAt = System.nanoTime();
   private final Map<Long, Exchange> exchanges = new HashMap<>();
+  private final RecentIds ids = new RecentIds();
   private final ArrayDeque<Event> events = new ArrayDeque<>();
   private boolean running;
   private long nextId;
@@ -126,6 +127,7 @@
 
   void arrived(Exchange e, Arrival arrival) {
     exchanges.put(e.id, e);
+    ids.opened(e.name);
     deliver(e, () -> balancer.onRequest(now(), arrival));
   }
 
@@ -134,10 +136,6 @@
     deliver(e, () -> balancer.onOutcome(now(), e.id, number, result, spent, over, report));
   }
 
-  void firstByte(Exchange e, int number, double spent) {
-    deliver(e, () -> balancer.onFirstByte(now(), e.id, number, spent));
-  }
-
   void clientGone(Exchange e) {
     deliver(e, () -> balancer.onClientGone(now(), e.id));
   }
@@ -175,15 +173,18 @@
   }
 
   void forget(Exchange e) {
-    exchanges.remove(e.id);
+    if (exchanges.remove(e.id) != null) {
+      ids.closed(e.name, System.nanoTime());
+    }
+  }
+
+  /** Whether a request of this id is open, or was a moment ago. */
+  boolean known(String id) {
+    return ids.known(id, System.nanoTime());
   }
 
   void sweep() {
-    long now = System.nanoTime();
     upstreams.sweep(hosts.all());
-    for (Exchange e : exchanges.values().toArray(Exchange[]::new)) {
-      e.sweep(now);
-    }
     hosts.forgetGone();
   }
 
--- a/src/main/java/corkproxy/proxy/Exchange.java
+++ b/src/main/java/corkproxy/proxy/Exchange.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -25,13 +24,11 @@
  * gives exactly one; holds the deadline, the request and its attempts.
  */
 final class Exchange {
-  /** A streamed answer whose host says nothing for so long (ns) has broken. */
-  private static final long HOST_STALL = 10_000_000_000L;
-
   /** A client that takes nothing of its answer for so long (ns) has gone. */
   static final long CLIENT_STALL = 30_000_000_000L;
 
   final long id;
+  final String name;
   private final Dispatcher dispatcher;
   private final ClientConnection client;
   private final HttpRequest head;
@@ -41,17 +38,17 @@
   private final List<Future<?>> timers = new ArrayList<>(2);
   private int open;
   private boolean answered;
-  private Attempt stream;
-  private long progressAt;
 
   Exchange(
       long id,
+      String name,
       Dispatcher dispatcher,
       ClientConnection client,
       HttpRequest head,
       Body body,
       double deadlineAt) {
     this.id = id;
+    this.name = name;
     this.dispatcher = dispatcher;
     this.client = client;
     this.head = head;
@@ -81,7 +78,6 @@
     attempts.add(a);
     open++;
     if (answered
-        || stream != null
         || !host.sendable
         || attempts.size() > dispatcher.maxAttempts()
         || giveUpAfter < 0
@@ -152,70 +148,13 @@
   }
 
   private boolean answer() {
-    if (answered || stream != null) {
+    if (answered) {
       return false;
     }
     answered = true;
     return true;
   }
 
-  // --- a long answer, passed on while it comes
-
-  void beginStream(Attempt a, HttpResponse reply, long length, Body begun) {
-    stream = a;
-    progressAt = System.nanoTime();
-    client.beginStream(reply, length);
-    freeBody();
-    if (begun != null) {
-      for (ByteBuf b : begun.retained()) {
-        client.streamPart(b);
-      }
-      begun.free();
-    }
-  }
-
-  /** Guards against bodies that are held, while their long answers go out, for nothing. */
-  private void freeBody() {
-    if (body != null) {
-      body.free();
-    }
-  }
-
-  void streamPart(HttpContent part) {
-    progressAt = System.nanoTime();
-    client.streamPart(part.content().retain());
-  }
-
-  /** Sends on what has come; false if the client has enough for now. */
-  boolean flushStream() {
-    return client.flushStream();
-  }
-
-  void streamWritable() {
-    if (stream != null) {
-      progressAt = System.nanoTime();
-      stream.resumeReading();
-    }
-  }
-
-  void endStream() {
-    answered = true;
-    client.endStream();
-  }
-
-  void cutStream() {
-    answered = true;
-    client.cut();
-  }
-
-  void sweep(long now) {
-    if (stream != null
-        && !answered
-        && now - progressAt > (client.writable() ? HOST_STALL : CLIENT_STALL)) {
-      stream.broken();
-    }
-  }
-
   // --- ends
 
   /** The client has gone before its answer. */
@@ -225,9 +164,6 @@
     }
     answered = true;
     dispatcher.clientGone(this);
-    if (stream != null && stream.open()) {
-      stream.clientGone();
-    }
     forgetIfDone();
   }
 
@@ -238,13 +174,17 @@
   }
 
   private void timeUp() {
-    if (stream == null) {
-      for (int i = 0; i < attempts.size(); i++) {
-        if (attempts.get(i).open()) {
-          attempts.get(i).timeUp();
-        }
+    for (int i = 0; i < attempts.size(); i++) {
+      if (attempts.get(i).open()) {
+        attempts.get(i).timeUp();
       }
-      failUnasked(); // if the module holds it still, the client's time is up all the same
+    }
+    failUnasked(); // if the module holds it still, the client's time is up all the same
+  }
+
+  private void freeBody() {
+    if (body != null) {
+      body.free();
     }
   }
 
--- a/src/main/java/corkproxy/proxy/Headers.java
+++ b/src/main/java/corkproxy/proxy/Headers.java
@@ -4,6 +4,8 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.AsciiString;
+import java.util.Locale;
+import java.util.Set;
 
 /** The headers of the protocol, as names whose hashes are made once, and which go no further. */
 final class Headers {
@@ -29,13 +31,17 @@
     HttpHeaderNames.UPGRADE
   };
 
+  /** Guards against a peer that has us drop, as its hop's own, what makes a request what it is. */
+  private static final Set<String> END_TO_END =
+      Set.of("close", "host", "content-length", "x-request-id", "idempotency-key");
+
   private Headers() {}
 
   static void dropHopByHop(HttpHeaders headers) {
     if (headers.contains(HttpHeaderNames.CONNECTION)) {
       for (String named : headers.getAll(HttpHeaderNames.CONNECTION)) {
         for (String token : named.split(",", 16)) {
-          if (!token.isBlank() && !token.trim().equalsIgnoreCase("close")) {
+          if (!token.isBlank() && !END_TO_END.contains(token.trim().toLowerCase(Locale.ROOT))) {
             headers.remove(token.trim());
           }
         }
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -18,7 +18,7 @@
 
   private static final long LEAST_BODIES_MB = 8;
   private static final long MOST_BODIES_MB = 116;
-  private static final long SWEEP_MS = 500;
+  private static final long SWEEP_MS = 250;
 
   /** After SIGTERM new connections come for 0.4 s at most; they are accepted for longer (ms). */
   private static final long ACCEPT_MS = 800;
--- a/src/main/java/corkproxy/proxy/Sockets.java
+++ b/src/main/java/corkproxy/proxy/Sockets.java
@@ -11,6 +11,11 @@
   /** A connection that carries nothing and may be closed to make room. */
   interface Idle {
     void closeIdle();
+
+    /** Whether it has carried anything yet. */
+    default boolean used() {
+      return true;
+    }
   }
 
   /** Descriptors of the JVM itself, the listener, discovery and what is being closed. */
@@ -22,6 +27,7 @@
   private final int limit;
   private final int clientLimit;
   private final Set<Idle> idleClients = new LinkedHashSet<>();
+  private final Set<Idle> unusedClients = new LinkedHashSet<>();
   private final Set<Idle> idleUpstreams = new LinkedHashSet<>();
   private int clients;
   private int upstreams;
@@ -34,7 +40,7 @@
   /** Whether one more client may be accepted once something idle was closed. */
   boolean roomForClient() {
     while (clients >= clientLimit) {
-      if (!closeOldest(idleClients)) {
+      if (!closeOldest(unusedClients) && !closeOldest(idleClients)) {
         return false;
       }
     }
@@ -43,7 +49,14 @@
 
   /** Whether one more connection of any kind may be opened once something idle was closed. */
   boolean room() {
-    return !exhausted() || closeOldest(idleUpstreams) || closeOldest(idleClients);
+    while (exhausted()) {
+      if (!closeOldest(unusedClients)
+          && !closeOldest(idleUpstreams)
+          && !closeOldest(idleClients)) {
+        return false;
+      }
+    }
+    return true;
   }
 
   private static boolean closeOldest(Set<Idle> idle) {
@@ -68,6 +81,7 @@
   void clientClosed(Idle c) {
     clients--;
     idleClients.remove(c);
+    unusedClients.remove(c);
   }
 
   void upstreamOpened() {
@@ -79,7 +93,8 @@
   }
 
   void clientIdle(Idle c, boolean idle) {
-    mark(idleClients, c, idle);
+    // Guards against a flood of connections that say nothing: they make room before those in use.
+    mark(c.used() ? idleClients : unusedClients, c, idle);
   }
 
   void upstreamIdle(Idle c, boolean idle) {
--- a/src/main/java/corkproxy/proxy/UpstreamCall.java
+++ b/src/main/java/corkproxy/proxy/UpstreamCall.java
@@ -31,14 +31,6 @@
   /** Part of the answer's body. */
   abstract void content(HttpContent part);
 
-  /** All that one read brought has been handed on. */
-  void readComplete() {}
-
-  /** Whether the answer may stand still, as its client decides how fast it is read. */
-  boolean mayStall() {
-    return false;
-  }
-
   /** The answer is whole. */
   abstract void end();
 
--- a/src/main/java/corkproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/corkproxy/proxy/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -11,6 +12,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -36,6 +38,25 @@
     boolean surplus() {
       return actualReadableBytes() > 0;
     }
+
+    /** Guards against an answer whose two lengths say two things (RFC 9112, 6.3). */
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+      throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+    }
+
+    /**
+     * Guards against a head that can't be read and is served all the same: the base class takes a
+     * line with no colon for a field with no value. RFC 9112, 5: name, colon, value.
+     */
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+      int colon = start + length;
+      if (length == 0 || colon >= line.length || line[colon] != ':') {
+        throw new IllegalArgumentException("a header line is not name:value");
+      }
+      return super.splitHeaderName(line, start, length);
+    }
   }
 
   private enum Reply {
@@ -239,16 +260,13 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
-    if (call != null) {
-      call.readComplete();
-      if (!stallTimer && mayStall()) {
-        watchStall(STALL_NANOS);
-      }
+    if (!stallTimer && mayStall()) {
+      watchStall(STALL_NANOS);
     }
   }
 
   private boolean mayStall() {
-    return call != null && decoder.begun && !call.mayStall() && channel.config().isAutoRead();
+    return call != null && decoder.begun && channel.config().isAutoRead();
   }
 
   /**
