Believe a load report for about as long as the queue it tells of

What is refused brings no newer report, so it held itself up. Ruled out: ejections (none stood), the retry budget (full), refusal by pressure (a fifth of them). Reports now fade in three aims towards the mean of all, which fades as well.

--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -89,8 +89,7 @@
     double budget = Math.max(1, a.budget());
     Settings.Semantics once = Settings.Semantics.AT_MOST_ONCE;
     return new Attempts.ClassState(
-        new Settings.RequestClass(
-            name, budget, budget, once, Settings.Scope.ALL, 0, 1, 0, false));
+        new Settings.RequestClass(name, budget, budget, once, Settings.Scope.ALL, 0, 1, 0, false));
   }
 
   /** An attempt has ended. {@code over} tells that the request is over with it or before. */
@@ -150,9 +149,7 @@
     if (c.open > 0) {
       return; // another attempt may still answer
     }
-    if (now < c.deadline - Tuning.LAST_SEND
-        && !admission.jammed(now)
-        && attempts.takeRetry()) {
+    if (now < c.deadline - Tuning.LAST_SEND && !admission.jammed(now) && attempts.takeRetry()) {
       dispatch(c, now);
     } else {
       conclude(c, now);
--- a/src/main/java/corkproxy/balancer/Draw.java
+++ b/src/main/java/corkproxy/balancer/Draw.java
@@ -23,12 +23,7 @@
   private double bestWait;
   private int equals;
 
-  Draw(
-      Settings settings,
-      Fleet fleet,
-      Health health,
-      Attempts attempts,
-      Admission admission,
+  Draw(Settings settings, Fleet fleet, Health health, Attempts attempts, Admission admission,
       SplittableRandom random) {
     this.settings = settings;
     this.fleet = fleet;
@@ -54,8 +49,7 @@
     }
     drawn.clear();
     // Other zones are drawn from too once answers near here take a good part of the aim.
-    if (!draw(local, c, now)
-        && (drawn.isEmpty() || admission.pressure(now) > Tuning.SPILL_FROM)) {
+    if (!draw(local, c, now) && (drawn.isEmpty() || admission.pressure(now) > Tuning.SPILL_FROM)) {
       draw(remote, c, now);
     }
     return drawn;
--- a/src/main/java/corkproxy/balancer/Fleet.java
+++ b/src/main/java/corkproxy/balancer/Fleet.java
@@ -66,13 +66,16 @@
   private final Map<Long, Host> byId = new HashMap<>();
   private final List<Host> ready = new ArrayList<>();
   private final Map<String, KindSpeed> kinds = new HashMap<>();
+  private final double reportFade;
   private int mark;
   private double meanHeld;
-  private boolean anyReport;
+  private double anyReportAt = Double.NEGATIVE_INFINITY;
   private boolean changed = true;
 
   Fleet(Settings settings) {
     this.settings = settings;
+    double aims = settings.classes().stream().mapToDouble(c -> c.aim()).average().orElse(400);
+    this.reportFade = Tuning.REPORT_FADE * aims;
   }
 
   Host get(long id) {
@@ -136,6 +139,8 @@
     h.halfOpen = false;
     h.charge = 0;
     h.report = LoadReport.NONE;
+    h.reportAt = Double.NEGATIVE_INFINITY;
+    h.sentSinceReport = 0;
     h.coldCredit = random.nextDouble();
     h.coldCreditAt = now;
   }
@@ -184,13 +189,19 @@
     }
   }
 
-  /** The time (ms) that a queue reported not long ago will take; 0 where nothing tells. */
+  /**
+   * The time (ms) that a reported queue will take; 0 where nothing tells. Guards against a report
+   * that is believed for longer than its queue lasts: what is refused for it brings no newer one.
+   */
   double expectedAnswer(Host h, double now) {
     KindSpeed k = kinds.get(h.kind);
-    if (k == null || now - h.reportAt > Tuning.REPORT_FADE || !(h.report.held() > Tuning.QUEUE_SEEN)) {
+    if (k == null || Double.isNaN(h.report.held())) {
       return 0;
     }
-    return k.msPerHeld * (h.report.held() + h.sentSinceReport + 1);
+    double fresh = Math.exp(-(now - h.reportAt) / reportFade);
+    double others = meanHeld * Math.exp(-(now - anyReportAt) / reportFade);
+    double held = fresh * h.report.held() + (1 - fresh) * others + h.sentSinceReport;
+    return held > Tuning.QUEUE_SEEN ? k.msPerHeld * (held + 1) : 0;
   }
 
   /** Whether the host has told its load just now. */
@@ -205,7 +216,7 @@
     h.report = report;
     h.reportAt = now;
     h.sentSinceReport = 0;
-    anyReport = true;
+    anyReportAt = now;
     meanHeld += 0.02 * (report.held() - meanHeld);
   }
 
@@ -222,11 +233,8 @@
   /** Expected wait in units of the mean answer time; decides between equal counts only. */
   double expectedWait(Host h, double now) {
     double slow = slowness(h, now);
-    if (!anyReport) {
-      return slow;
-    }
-    double fresh = Math.exp(-(now - h.reportAt) / Tuning.REPORT_FADE);
     double held = meanHeld;
+    double fresh = Math.exp(-(now - h.reportAt) / reportFade);
     if (fresh > 0.01) {
       held += fresh * (h.report.held() + h.sentSinceReport - meanHeld);
     }
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -31,8 +31,8 @@
   /** Two expected waits closer than this part are equal, and chance decides: avoids herding. */
   static final double WAIT_TIE = 0.1;
 
-  /** Time constant (ms) at which a load report fades towards the mean of all reports. */
-  static final double REPORT_FADE = 3_000;
+  /** Time constant, in aims, at which a load report fades: a queue lasts about as long as an aim. */
+  static final double REPORT_FADE = 3;
 
   /** Requests a host is taken to hold without queueing, when reports are weighed. */
   static final double REPORT_BASE = 4;
--- a/src/test/java/corkproxy/balancer/BalancerTest.java
+++ b/src/test/java/corkproxy/balancer/BalancerTest.java
@@ -374,6 +374,37 @@
     return new LoadReport(n, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
   }
 
+  @Test
+  void reportOfALongQueueIsNotBelievedForLongerThanTheQueueLasts() {
+    Balancer b = safe(2);
+    for (int i = 0; bench.refused.isEmpty(); i++) {
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+      if (bench.refused.isEmpty()) { // each answer takes 300 ms behind nine others
+        bench.now += 300;
+        b.onOutcome(bench.now, i, 0, Result.OK, 300, true, held(9));
+      }
+      assertThat(i).isLessThan(100);
+    }
+    int before = bench.sends.size();
+    bench.now += 2_400; // six aims: nobody was asked, and nothing newer was heard
+    for (int i = 0; i < 20; i++) {
+      b.onRequest(bench.now, Bench.request(1_000 + i, SAFE, 800));
+    }
+    assertThat(bench.sends.size() - before).isGreaterThan(5);
+  }
+
+  @Test
+  void restartedHostIsNotWeighedByAReportOfItsFormerProcess() {
+    Fleet fleet = new Fleet(Bench.settings(Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL)));
+    java.util.SplittableRandom random = new java.util.SplittableRandom(1);
+    fleet.apply(bench.now, News.FULL, Bench.hosts(1), random);
+    fleet.reported(fleet.get(0), bench.now, held(5));
+    fleet.apply(
+        bench.now, News.DELTA, List.of(Bench.host(0, Condition.READY, bench.now)), random);
+    assertThat(fleet.expectedWait(fleet.get(0), bench.now)).isFinite();
+    assertThat(fleet.expectedAnswer(fleet.get(0), bench.now)).isZero();
+  }
+
   @Test
   void forgetsHostsThatAreGone() {
     Fleet fleet = new Fleet(Bench.settings(Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL)));
