Start in a third of the time: a class archive and a shorter warm-up

Measured on one core: 0.7 to 0.9 s of CPU until it listens, 1.4 to 2.0 s more for 4000 warm-up requests; with an archive of the classes 0.35 s, and 0.7 s for 200 requests, of which the first 100 cost half.

--- a/src/main/java/corkproxy/Main.java
+++ b/src/main/java/corkproxy/Main.java
@@ -5,6 +5,7 @@
 import corkproxy.adapter.MalformedInputException;
 import corkproxy.proxy.ConfigException;
 import corkproxy.proxy.Proxy;
+import corkproxy.proxy.Rehearsal;
 
 /** Entry point of the jar. */
 public final class Main {
@@ -12,16 +13,18 @@
 
   /**
    * Runs {@code proxy}, a client proxy on sockets, or {@code adapter}, the same decisions on the
-   * simulator's wire on standard input and output.
+   * simulator's wire on standard input and output. The build runs {@code rehearse}, for the JVM to
+   * record what a proxy loads.
    */
   public static void main(String[] args) throws IOException {
     String command = args.length == 1 ? args[0] : "";
     try {
       switch (command) {
         case "proxy" -> Proxy.run(System.getenv());
+        case "rehearse" -> Rehearsal.run();
         case "adapter" -> new Adapter(System.in, System.out, System.err).run();
         default -> {
-          System.err.println("usage: java -jar corkproxy.jar proxy|adapter");
+          System.err.println("usage: java -jar corkproxy.jar proxy|adapter|rehearse");
           System.exit(2);
         }
       }
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -27,7 +27,7 @@
   private static final long LAST_MS = 600;
 
   /** The longest warm-up (ms): a slow core gets a half-warm proxy in time. */
-  private static final long WARM_UP_MS = 8_000;
+  private static final long WARM_UP_MS = 2_000;
 
   private static final long POLL_MS = 10;
 
--- /dev/null
+++ b/src/main/java/corkproxy/proxy/Rehearsal.java
@@ -0,0 +1,47 @@
+package corkproxy.proxy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/**
+ * A start and a warm-up with nobody there. The build runs it to archive the classes that a proxy
+ * loads: guards against a restart that leaves its clients alone for as long as a part of a core
+ * takes to load and verify them all. Without the archive a proxy starts as well, only later.
+ */
+public final class Rehearsal {
+  private static final long MOST_MS = 30_000;
+
+  private static final String CONFIG =
+      """
+      {"name":"rehearsal","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
+       "limits":{"cores":1.0,"memory_mb":128,"sockets":1024},
+       "known":{"version":1,"full":true,"servers":[]},
+       "settings":{"balancers":1,"position":0,"zone":"z","zones":["z"],
+        "membershipMode":"automatic",
+        "classes":[
+         {"name":"keyed","aim":400,"deadline":1200,"semantics":"deduplicated","keyScope":"cell",
+          "repeatWindow":750},
+         {"name":"unsafe","aim":400,"deadline":800,"semantics":"at_most_once","keyScope":"all"}],
+        "limits":{"cancel":true,"maxAttempts":6,"parallelTries":true,"streamsPerConn":1},
+        "report":{"how":"answers","fields":["rif","fail_rate"]},
+        "rules":{"cold":8700,"startCapacity":0.3,"fall":1500,"fallMultiple":3}}}
+      """;
+
+  private Rehearsal() {}
+
+  public static void run() throws IOException, ConfigException {
+    Path file = Files.createTempFile("rehearsal", ".json");
+    try {
+      Files.writeString(file, CONFIG);
+      new WarmUp(Config.load(Map.of("BALANCER_CONFIG", file.toString()))).run(MOST_MS);
+    } catch (ConfigException | IOException e) {
+      throw e;
+    } catch (Exception e) {
+      throw new IOException("the rehearsal failed", e);
+    } finally {
+      Files.delete(file);
+    }
+  }
+}
--- a/src/main/java/corkproxy/proxy/WarmUp.java
+++ b/src/main/java/corkproxy/proxy/WarmUp.java
@@ -39,10 +39,11 @@
 /**
  * Guards against the first seconds of a proxy that has part of a core: cold code takes ten times
  * as long. Before the proxy says that it is ready, a second one, on ports of its own, passes on
- * requests from itself to itself, so that what every request needs is loaded and compiled.
+ * requests from itself to itself, so that what every request needs is loaded and mostly compiled.
+ * It costs those who wait for a proxy that restarts, so it ends when more of it gains less.
  */
 final class WarmUp {
-  private static final int REQUESTS = 4_000;
+  private static final int REQUESTS = 200;
   private static final int CLIENTS = 8;
   private static final int HOSTS = 8;
   private static final byte[] BODY = new byte[600];
--- a/src/test/java/corkproxy/proxy/JarIT.java
+++ b/src/test/java/corkproxy/proxy/JarIT.java
@@ -20,7 +20,7 @@
     List<String> line = new ArrayList<>();
     line.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     if (command.equals("proxy")) {
-      line.add("@deploy/proxy.jvm");
+      line.addAll(List.of("@deploy/proxy.jvm", "-XX:SharedArchiveFile=target/corkproxy.jsa"));
     }
     line.addAll(List.of("-jar", "target/corkproxy.jar", command));
     ProcessBuilder b = new ProcessBuilder(line);
@@ -161,6 +161,26 @@
     }
   }
 
+  @Test
+  void proxyLoadsItsClassesFromTheArchive() throws Exception {
+    Process p =
+        new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "@deploy/proxy.jvm",
+                "-XX:SharedArchiveFile=target/corkproxy.jsa",
+                "-Xlog:class+load",
+                "-jar",
+                "target/corkproxy.jar",
+                "rehearse")
+            .redirectErrorStream(true)
+            .start();
+    String log = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    assertThat(p.waitFor()).isZero();
+    assertThat(log)
+        .contains("corkproxy.proxy.Dispatcher source: shared objects file (top)")
+        .contains("io.netty.handler.codec.http.HttpObjectDecoder source: shared objects file (top)");
+  }
+
   @Test
   void hangUpMovesTheWatchAndEndsNothing() throws Exception {
     BlockingQueue<String> asked = new LinkedBlockingQueue<>();
