Expect of a host at least what was sent to it, and of its queue that it drains

Ruled out: the event loop (0.2 ms to the first attempt), cold hosts' credit (the module took all for warm here).

--- a/src/main/java/corkproxy/balancer/Admission.java
+++ b/src/main/java/corkproxy/balancer/Admission.java
@@ -99,14 +99,14 @@
     double gap = now - pressureAt;
     pressure = pressure(now);
     // A proxy with few requests weighs each one more, or it would learn of a jam after its end.
-    double weight = Math.min(0.3, Math.max(Tuning.LATENCY_ALPHA, gap / Tuning.PRESSURE_MEMORY));
+    double weight = Math.min(0.3, Math.max(Tuning.LATENCY_ALPHA, gap / (Tuning.PRESSURE_MEMORY * settings.meanAim())));
     pressure += weight * (Math.min(2, elapsed / aim) - pressure);
     pressureAt = now;
   }
 
   /** Recent answer time as part of the aim, 0 to 2. */
   double pressure(double now) {
-    return pressure * Math.exp(-(now - pressureAt) / Tuning.PRESSURE_FADE);
+    return pressure * Math.exp(-(now - pressureAt) / (Tuning.PRESSURE_FADE * settings.meanAim()));
   }
 
   /** Whether answers come so late that a further attempt would only feed the jam. */
--- a/src/main/java/corkproxy/balancer/Attempts.java
+++ b/src/main/java/corkproxy/balancer/Attempts.java
@@ -107,8 +107,7 @@
       return false;
     }
     if (target != null
-        && (!target.sendable
-            || c.attempts.size() >= limits.maxAttempts()
+        && (!target.sendable || c.attempts.size() >= limits.maxAttempts()
             || (c.open > 0 && !limits.parallelTries())
             || now >= c.deadline)) {
       return false;
--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -262,8 +262,7 @@
   private void overdue(Attempts.Call c, double now) {
     // Guards against copies of costly requests feeding a jam: only silence earns a second copy.
     Attempts.Attempt last = c.attempts.get(c.attempts.size() - 1);
-    if (now >= c.deadline - Tuning.LAST_SEND
-        || admission.pressure(now) > Tuning.REFUSE_FROM
+    if (now >= c.deadline - Tuning.LAST_SEND || admission.pressure(now) > Tuning.REFUSE_FROM
         || !health.silent(last.host, now, 0.99 * c.type.overdueAfter())) {
       return;
     }
--- a/src/main/java/corkproxy/balancer/Fleet.java
+++ b/src/main/java/corkproxy/balancer/Fleet.java
@@ -74,8 +74,7 @@
 
   Fleet(Settings settings) {
     this.settings = settings;
-    double aims = settings.classes().stream().mapToDouble(c -> c.aim()).average().orElse(400);
-    this.reportFade = Tuning.REPORT_FADE * aims;
+    this.reportFade = Tuning.REPORT_FADE * settings.meanAim();
   }
 
   Host get(long id) {
@@ -190,17 +189,20 @@
   }
 
   /**
-   * The time (ms) that a reported queue will take; 0 where nothing tells. Guards against a report
-   * that is believed for longer than its queue lasts: what is refused for it brings no newer one.
+   * The time (ms) that the host's queue will take; 0 where nothing tells. Guards against a report
+   * that is believed for longer than its queue lasts, as what is refused for it brings no newer
+   * one; and against one that is older than what we sent: the host holds at least all of that.
    */
   double expectedAnswer(Host h, double now) {
     KindSpeed k = kinds.get(h.kind);
-    if (k == null || Double.isNaN(h.report.held())) {
+    if (k == null || k.msPerHeld == 0) {
       return 0;
     }
     double fresh = Math.exp(-(now - h.reportAt) / reportFade);
     double others = meanHeld * Math.exp(-(now - anyReportAt) / reportFade);
-    double held = fresh * h.report.held() + (1 - fresh) * others + h.sentSinceReport;
+    double left = h.report.held() - (now - h.reportAt) / k.msPerHeld;
+    double told = fresh == 0 ? 0 : Math.max(Math.min(h.report.held(), others), left);
+    double held = Math.max(h.inFlight, fresh * told + (1 - fresh) * others + h.sentSinceReport);
     return held > Tuning.QUEUE_SEEN ? k.msPerHeld * (held + 1) : 0;
   }
 
@@ -216,8 +218,9 @@
     h.report = report;
     h.reportAt = now;
     h.sentSinceReport = 0;
+    double weight = Math.max(0.02, 1 - Math.exp(-(now - anyReportAt) / reportFade));
+    meanHeld += weight * (report.held() - meanHeld);
     anyReportAt = now;
-    meanHeld += 0.02 * (report.held() - meanHeld);
   }
 
   /**
--- a/src/main/java/corkproxy/balancer/Settings.java
+++ b/src/main/java/corkproxy/balancer/Settings.java
@@ -25,6 +25,15 @@
     balancers = Math.max(1, balancers);
   }
 
+  /** What the times of a deployment are measured in where they are not stated. */
+  public double meanAim() {
+    double sum = 0;
+    for (RequestClass c : classes) {
+      sum += c.aim();
+    }
+    return classes.isEmpty() ? 400 : sum / classes.size();
+  }
+
   /** What may be repeated. */
   public enum Semantics {
     IDEMPOTENT,
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -107,11 +107,11 @@
   /** The most of a mean class that is refused: the rest finds out when the jam is over. */
   static final double REFUSE_MOST = 0.9;
 
-  /** A proxy with fewer answers than one in a tenth of this time (ms) weighs each one more. */
-  static final double PRESSURE_MEMORY = 3_000;
+  /** A proxy with fewer answers than one in a tenth of this time (in aims) weighs each one more. */
+  static final double PRESSURE_MEMORY = 7.5;
 
-  /** Time constant (ms) at which pressure fades when no answers come: queues take long to drain. */
-  static final double PRESSURE_FADE = 10_000;
+  /** Time constant, in aims, at which pressure fades when no answers come: queues drain slowly. */
+  static final double PRESSURE_FADE = 25;
 
   /** Time constant (ms) of tenants' parts of the own traffic. */
   static final double SHARE_MEMORY = 10_000;
--- a/src/test/java/corkproxy/balancer/BalancerTest.java
+++ b/src/test/java/corkproxy/balancer/BalancerTest.java
@@ -393,6 +393,23 @@
     assertThat(bench.sends.size() - before).isGreaterThan(5);
   }
 
+  @Test
+  void hostHoldsAtLeastWhatWasSentToItAndAReportedQueueDrains() {
+    Settings settings = Bench.settings(Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL));
+    Fleet fleet = new Fleet(settings);
+    fleet.apply(bench.now, News.FULL, Bench.hosts(1), new java.util.SplittableRandom(1));
+    Fleet.Host h = fleet.get(0);
+    fleet.queued(h, 9, 100); // 10 ms for each request held
+    fleet.reported(h, bench.now, held(0));
+    assertThat(fleet.expectedAnswer(h, bench.now)).isZero();
+    h.inFlight = 20; // the report is older than these
+    assertThat(fleet.expectedAnswer(h, bench.now)).isGreaterThanOrEqualTo(200);
+    h.inFlight = 0;
+    fleet.reported(h, bench.now, held(14));
+    assertThat(fleet.expectedAnswer(h, bench.now)).isGreaterThanOrEqualTo(140);
+    assertThat(fleet.expectedAnswer(h, bench.now + 150)).isZero();
+  }
+
   @Test
   void restartedHostIsNotWeighedByAReportOfItsFormerProcess() {
     Fleet fleet = new Fleet(Bench.settings(Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL)));
