Draw more candidates where few proxies share a fleet; take settled connections

Causes: (1) with two proxies and six hosts a draw of three or four missed the least loaded host every other time: the load of hosts lay 1.9 to 2.1 times apart in the windows that were refused most. Few proxies can't herd, so d goes up to 16 divided by their number; many keep d of three or four. One that has stood for 30 ms is now taken first.

--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -39,9 +39,7 @@
     this.draw = new Draw(settings, fleet, health, attempts, admission, random);
     // Where hosts tell their load only when asked, and asking is cheap, light proxies ask first.
     this.asks =
-        settings.limits().probes()
-            && settings.reportsOnProbes()
-            && !settings.reportsOnAnswers()
+        settings.limits().probes() && settings.reportsOnProbes() && !settings.reportsOnAnswers()
             && Tuning.MIN_CHOICES * settings.fees().probe() <= Tuning.ASK_PRICE;
     for (Settings.RequestClass c : settings.classes()) {
       classes.put(c.name(), new Attempts.ClassState(c));
@@ -285,11 +283,8 @@
 
   private void begin(Attempts.Call c, Fleet.Host h, double now) {
     // Guards against a jam: where even the winner can't answer in time, no work is begun.
-    if (h == null
-        || (c.attempts.isEmpty()
-            && fleet.expectedAnswer(h, now) > Tuning.REFUSE_AT
-                    * c.type.rules.aim()
-                    * Math.max(Tuning.LEAST_STANDING, c.standing))) {
+    double most = Tuning.REFUSE_AT * c.type.rules.aim() * Math.max(Tuning.LEAST_STANDING, c.standing);
+    if (h == null || (c.attempts.isEmpty() && fleet.expectedAnswer(h, now) > most)) {
       conclude(c, now);
     } else {
       send(c, h, now);
--- a/src/main/java/corkproxy/balancer/Draw.java
+++ b/src/main/java/corkproxy/balancer/Draw.java
@@ -184,7 +184,7 @@
     return out;
   }
 
-  /** The paper's capacity condition: the least d with the j slowest holding C(j,d)/C(n,d). */
+  /** The least d that the paper's capacity condition and the number of proxies allow. */
   private int choicesFor(Fleet.Host[] pool, double now) {
     int n = pool.length;
     double[] speeds = new double[n];
@@ -194,14 +194,17 @@
       total += speeds[i];
     }
     Arrays.sort(speeds);
-    for (int d = Tuning.MIN_CHOICES; d < Tuning.MAX_CHOICES; d++) {
+    int alone = Tuning.HERD / settings.balancers();
+    int most = Math.max(Tuning.MAX_CHOICES, alone);
+    for (int d = Math.max(Tuning.MIN_CHOICES, Math.min(n - 1, alone)); d < most; d++) {
       if (meets(speeds, total, d)) {
         return d;
       }
     }
-    return Tuning.MAX_CHOICES;
+    return most;
   }
 
+  /** The capacity condition: the j slowest hold C(j,d)/C(n,d) of the speed. */
   private static boolean meets(double[] speeds, double total, int d) {
     int n = speeds.length;
     double held = 0;
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -7,9 +7,12 @@
   /** The least number of candidates drawn: two for the paper, one more as light proxies' counts tie. */
   static final int MIN_CHOICES = 3;
 
-  /** The most: more would herd many proxies onto the same few hosts. */
+  /** The most of many proxies: more would herd them onto the same few hosts. */
   static final int MAX_CHOICES = 4;
 
+  /** Candidates of all proxies together that herd nobody: few proxies draw more of them each. */
+  static final int HERD = 16;
+
   /** Hosts in the pool of a proxy with no load; enough to lose a fifth of them and still choose. */
   static final int BASE_POOL = 6;
 
--- a/src/main/java/corkproxy/proxy/ClientConnection.java
+++ b/src/main/java/corkproxy/proxy/ClientConnection.java
@@ -81,10 +81,11 @@
   /** How long (ns) a request may take to come whole. */
   private static final long SLOW_NANOS = 1_900_000_000L;
 
-  /** How long (ns) a connection may stand before its first request, and between two. */
-  private static final long UNUSED_NANOS = 2_100_000_000L;
-
-  private static final long IDLE_NANOS = 3_000_000_000L;
+  /**
+   * How long (ns) a connection may stand with no request on it. Clients may count on 2 s; those that
+   * keep theirs for good without need take the places of others, theirs and ours.
+   */
+  private static final long IDLE_NANOS = 2_100_000_000L;
 
   /** How long (ms) the rest of a rejected message is read, so that the client sees its answer. */
   private static final long LINGER_MS = 500;
@@ -575,7 +576,7 @@
       reject(408);
     } else if (writingSince != 0 && now - writingSince > Exchange.CLIENT_STALL) {
       channel.close();
-    } else if (!busy() && now - idleSince > (used ? IDLE_NANOS : UNUSED_NANOS)) {
+    } else if (!busy() && now - idleSince > IDLE_NANOS) {
       // Guards against connections that are kept for good and asked nothing: each holds a descriptor.
       closeIdle();
     }
--- a/src/main/java/corkproxy/proxy/Upstreams.java
+++ b/src/main/java/corkproxy/proxy/Upstreams.java
@@ -9,16 +9,22 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 
 /** The connections to hosts: opens them as needed, keeps the idle ones, ends them in time. */
 final class Upstreams {
   /** Part of the host's idle time after which a connection is closed: well before the host does. */
   private static final double IDLE_PART = 0.7;
 
+  /** How long (ns) a connection must have stood idle for its end to have been heard of. */
+  private static final long SETTLE_NANOS = 30_000_000L;
+
   /** How long (ns) the rest of an unwanted answer is waited for. */
   private static final long DISCARD_NANOS = 500_000_000L;
 
@@ -60,7 +66,9 @@
   void start(UpstreamCall call) {
     Host host = call.host;
     UpstreamConnection c;
-    while ((c = host.idle.pollLast()) != null) {
+    long now = System.nanoTime();
+    while ((c = pick(host.idle, UpstreamConnection::since, now)) != null) {
+      host.idle.remove(c);
       sockets.upstreamIdle(c, false);
       if (c.alive() && c.reusable()) {
         c.run(call);
@@ -78,6 +86,22 @@
     connect(call, host);
   }
 
+  /**
+   * The idle connection to use: the newest of those that have stood for a while, else the oldest.
+   * Guards against a host that ends its connection right behind an answer, or is about to go: the
+   * end is on its way for so long, and a request that crosses it counts as one that may have run.
+   * The cost is a connection or two more for each host, all of them in use.
+   */
+  static <T> T pick(ArrayDeque<T> idle, ToLongFunction<T> since, long now) {
+    for (Iterator<T> newest = idle.descendingIterator(); newest.hasNext(); ) {
+      T c = newest.next();
+      if (now - since.applyAsLong(c) >= SETTLE_NANOS) {
+        return c;
+      }
+    }
+    return idle.peekFirst();
+  }
+
   private void connect(UpstreamCall call, Host host) {
     ChannelFuture f = bootstrap.connect(host.address);
     QuietChannel channel = (QuietChannel) f.channel();
--- a/src/test/java/corkproxy/balancer/BalancerTest.java
+++ b/src/test/java/corkproxy/balancer/BalancerTest.java
@@ -410,6 +410,27 @@
     assertThat(fleet.expectedAnswer(h, bench.now + 150)).isZero();
   }
 
+  @Test
+  void twoProxiesWithFewHostsKeepTheirCountsEven() {
+    Settings s = Bench.settings(Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL));
+    Settings two =
+        new Settings(
+            s.classes(), s.tenants(), s.limits(), s.rules(), s.fees(), false, "a", 0, 2, 1,
+            false, true, true);
+    Balancer b = balancer(two, Bench.hosts(8)); // all but host 4 are near
+    Map<Long, Integer> counts = new HashMap<>();
+    for (long id : new long[] {0, 1, 2, 3, 5, 6, 7}) {
+      counts.put(id, 0);
+    }
+    int missed = 0;
+    for (int i = 0; i < 84; i++) {
+      int least = counts.values().stream().min(Integer::compare).orElseThrow();
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+      missed += counts.merge(bench.last().host(), 1, Integer::sum) > least + 1 ? 1 : 0;
+    }
+    assertThat(missed).isLessThan(12); // one in seven, where the draw leaves one out
+  }
+
   @Test
   void restartedHostIsNotWeighedByAReportOfItsFormerProcess() {
     Fleet fleet = new Fleet(Bench.settings(Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL)));
--- a/src/test/java/corkproxy/proxy/OutcomesTest.java
+++ b/src/test/java/corkproxy/proxy/OutcomesTest.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -213,6 +214,16 @@
     }
   }
 
+  @Test
+  void connectionThatHasStoodIsTakenBeforeOneThatMayBeEnding() {
+    long ms = 1_000_000;
+    ArrayDeque<Long> idle = new ArrayDeque<>(List.of(10 * ms, 20 * ms, 95 * ms, 99 * ms));
+    assertThat(Upstreams.pick(idle, at -> at, 100 * ms)).isEqualTo(20 * ms);
+    assertThat(Upstreams.pick(idle, at -> at, 200 * ms)).isEqualTo(99 * ms);
+    assertThat(Upstreams.pick(idle, at -> at, 30 * ms)).isEqualTo(10 * ms); // none has stood
+    assertThat(Upstreams.pick(new ArrayDeque<Long>(), at -> at, 0)).isNull();
+  }
+
   @Test
   void connectionIsKeptForTheNextRequest() throws Exception {
     try (ScriptedServer host = ScriptedServer.host(r -> ScriptedServer.ok("x"));
