Leave out no more than three hosts in ten, and for times measured in aims

Ruled out: a host that hangs (all answer between the losses), old connections that are dead (new ones lose as many), our loop (2 ms).

--- a/src/main/java/corkproxy/balancer/Admission.java
+++ b/src/main/java/corkproxy/balancer/Admission.java
@@ -35,9 +35,7 @@
 
   Admission(Settings settings, SplittableRandom random, Actions actions) {
     this.settings = settings;
-    for (Settings.Tenant t : settings.tenants()) {
-      shares.put(t.name(), new Share(t.portion()));
-    }
+    settings.tenants().forEach(t -> shares.put(t.name(), new Share(t.portion())));
     this.random = random;
     this.actions = actions;
   }
--- a/src/main/java/corkproxy/balancer/Attempts.java
+++ b/src/main/java/corkproxy/balancer/Attempts.java
@@ -52,12 +52,7 @@
     }
 
     boolean tried(Fleet.Host h) {
-      for (int i = 0; i < attempts.size(); i++) {
-        if (attempts.get(i).host == h) {
-          return true;
-        }
-      }
-      return false;
+      return attempts.stream().anyMatch(a -> a.host == h);
     }
   }
 
@@ -125,8 +120,7 @@
           || now - a.sentAt >= rules.repeatWindow() - Tuning.WINDOW_MARGIN) {
         return false;
       }
-      boolean sameGroup =
-          switch (rules.scope()) {
+      boolean sameGroup = switch (rules.scope()) {
             case ALL -> true;
             case ZONE -> target != null && a.zone != null && a.zone.equals(target.zone);
             case CELL -> target != null && a.cell == target.cell;
--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -33,7 +33,7 @@
     this.actions = actions;
     this.random = new SplittableRandom(seed);
     this.fleet = new Fleet(settings);
-    this.health = new Health(random, actions);
+    this.health = new Health(fleet, settings.meanAim(), random, actions);
     this.attempts = new Attempts(settings.limits());
     this.admission = new Admission(settings, random, actions);
     this.draw = new Draw(settings, fleet, health, attempts, admission, random);
@@ -41,9 +41,7 @@
     this.asks =
         settings.limits().probes() && settings.reportsOnProbes() && !settings.reportsOnAnswers()
             && Tuning.MIN_CHOICES * settings.fees().probe() <= Tuning.ASK_PRICE;
-    for (Settings.RequestClass c : settings.classes()) {
-      classes.put(c.name(), new Attempts.ClassState(c));
-    }
+    settings.classes().forEach(c -> classes.put(c.name(), new Attempts.ClassState(c)));
   }
 
   /** Called once after creation, when actions may be taken. */
@@ -118,18 +116,16 @@
       case OK -> {
         health.succeeded(a.host, now);
         if (!c.streaming) {
-          double mean = type.meanAnswer;
+          fleet.answered(a.host, now, spent / Math.max(0.1, type.meanAnswer));
           type.answered(spent);
-          fleet.answered(a.host, now, spent / Math.max(0.1, mean));
           fleet.queued(a.host, a.heldBefore, spent);
           admission.answered(now, spent, type.rules.aim());
         }
       }
       case ERROR -> health.failed(a.host, now, true);
       case FULL -> {
-        // Guards against a jam that spreads: a full host is busy, not broken. Ejecting it would
-        // push its share onto hosts about as full; a full queue is long past the aim, so it
-        // counts as the worst pressure, which refuses early.
+        // Guards against a jam that spreads: a full host is busy, not broken. Ejecting it would push
+        // its share onto others as full; a full queue counts as the worst pressure, which refuses.
         health.crowded(a.host, now);
         admission.answered(now, 2 * type.rules.aim(), type.rules.aim());
       }
--- a/src/main/java/corkproxy/balancer/Draw.java
+++ b/src/main/java/corkproxy/balancer/Draw.java
@@ -184,7 +184,7 @@
     return out;
   }
 
-  /** The least d that the paper's capacity condition and the number of proxies allow. */
+  /** The least d for the number of proxies at which the j slowest hold C(j,d)/C(n,d) of the speed. */
   private int choicesFor(Fleet.Host[] pool, double now) {
     int n = pool.length;
     double[] speeds = new double[n];
@@ -204,7 +204,6 @@
     return most;
   }
 
-  /** The capacity condition: the j slowest hold C(j,d)/C(n,d) of the speed. */
   private static boolean meets(double[] speeds, double total, int d) {
     int n = speeds.length;
     double held = 0;
--- a/src/main/java/corkproxy/balancer/Health.java
+++ b/src/main/java/corkproxy/balancer/Health.java
@@ -4,10 +4,14 @@
 
 /** Outlier detection: silence, failures, ejection with growing back-off, half-open trials. */
 final class Health {
+  private final Fleet fleet;
+  private final double aim;
   private final SplittableRandom random;
   private final Actions actions;
 
-  Health(SplittableRandom random, Actions actions) {
+  Health(Fleet fleet, double aim, SplittableRandom random, Actions actions) {
+    this.fleet = fleet;
+    this.aim = aim;
     this.random = random;
     this.actions = actions;
   }
@@ -37,7 +41,7 @@
 
   /** The extra count that failures charge to a host: an empty failing host must not attract. */
   double charge(Fleet.Host h, double now) {
-    return h.charge < 0.05 ? 0 : h.charge * Math.exp(-(now - h.chargeAt) / Tuning.CHARGE_FADE);
+    return h.charge < 0.05 ? 0 : h.charge * Math.exp(-(now - h.chargeAt) / (Tuning.CHARGE_FADE * aim));
   }
 
   void succeeded(Fleet.Host h, double now) {
@@ -60,8 +64,7 @@
     h.charge = charge(h, now) + Tuning.FAILURE_CHARGE;
     h.chargeAt = now;
     if (now >= h.ejectedUntil
-        && (h.halfOpen
-            || h.failuresInRow >= Tuning.FAILURES_IN_A_ROW
+        && (h.halfOpen || h.failuresInRow >= Tuning.FAILURES_IN_A_ROW
             || h.failShare >= Tuning.FAILURE_SHARE)) {
       eject(h, now);
     }
@@ -79,10 +82,16 @@
   }
 
   private void eject(Fleet.Host h, double now) {
-    if (now - h.lastEjection > Tuning.EJECT_FORGET) {
+    // Guards against a fault that many hosts show at once, or that lies on the way to them: to
+    // leave them all out would bury the rest. It does harm where most hosts really are of no use.
+    long out = fleet.ready().stream().filter(o -> o.halfOpen && o != h).count();
+    if (out >= Tuning.EJECT_PART * fleet.ready().size()) {
+      return;
+    }
+    if (now - h.lastEjection > Tuning.EJECT_FORGET * aim) {
       h.ejections = 0;
     }
-    double length = Math.min(Tuning.EJECT_MAX, Tuning.EJECT_BASE * Math.pow(2, h.ejections));
+    double length = aim * Math.min(Tuning.EJECT_MAX, Tuning.EJECT_BASE * Math.pow(2, h.ejections));
     h.ejections++;
     h.lastEjection = now;
     // Spread, so that many proxies do not try the host again in the same moment.
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -52,19 +52,22 @@
   /** Smoothing of the failure share: about the last five outcomes. */
   static final double FAILURE_ALPHA = 0.2;
 
-  /** First ejection (ms), doubled each time up to the last. */
-  static final double EJECT_BASE = 1_000;
+  /** First ejection, in aims, doubled each time up to the last. */
+  static final double EJECT_BASE = 2.5;
 
-  static final double EJECT_MAX = 8_000;
+  static final double EJECT_MAX = 20;
 
-  /** After this time (ms) without an ejection the back-off starts anew. */
-  static final double EJECT_FORGET = 30_000;
+  /** After this time, in aims, without an ejection the back-off starts anew. */
+  static final double EJECT_FORGET = 75;
+
+  /** Part of the hosts past which no further one is ejected. */
+  static final double EJECT_PART = 0.3;
 
   /** What one failure adds to a host's count, so that fast errors do not make it look idle. */
   static final double FAILURE_CHARGE = 2;
 
-  /** Time constant (ms) at which that charge decays. */
-  static final double CHARGE_FADE = 2_000;
+  /** Time constant, in aims, at which that charge decays. */
+  static final double CHARGE_FADE = 5;
 
   /** Part of the fall multiple that all proxies together may use on a cold host. */
   static final double COLD_SHARE = 0.3;
