Learn after how long an idle connection is forgotten, and use none that old

Hosts forget idle connections within a fraction of the 60 s that are stated, and the end is not heard of before a request is on it. Ruled out: ends that cross a request (those come within 24 ms), hosts that die (new connections break no more often than young ones).

--- a/src/main/java/corkproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/corkproxy/proxy/UpstreamConnection.java
@@ -88,6 +88,7 @@
   private boolean stallTimer;
   private int unwanted;
   private long since;
+  private long reusedAfter = -1;
 
   UpstreamConnection(Upstreams pool, Host host, QuietChannel channel, Decoder decoder) {
     this.pool = pool;
@@ -123,6 +124,7 @@
   /** Writes the call; the last moment at which it can be held back has passed. */
   void run(UpstreamCall next) {
     call = next;
+    reusedAfter = since == 0 ? -1 : System.nanoTime() - since;
     decoder.begun = false;
     reply = Reply.NONE;
     written = false;
@@ -178,6 +180,7 @@
       return;
     }
     reply = Reply.BODY;
+    reused(false);
     // An answer ahead of the request's last byte leaves a half-sent request behind it.
     keep = written && HttpUtil.isKeepAlive(head);
     call.head(head);
@@ -244,12 +247,22 @@
     }
   }
 
+  private void reused(boolean broke) {
+    if (reusedAfter >= 0) {
+      pool.reused(reusedAfter, broke);
+      reusedAfter = -1;
+    }
+  }
+
   private void lost() {
     UpstreamCall c = call;
     boolean sent = written;
     call = null;
     channel.close();
     if (c != null) {
+      if (!decoder.begun) {
+        reused(true);
+      }
       if (sent) {
         c.broken();
       } else {
--- a/src/main/java/corkproxy/proxy/Upstreams.java
+++ b/src/main/java/corkproxy/proxy/Upstreams.java
@@ -41,6 +41,7 @@
   private final Log log;
   private final long idleNanos;
   private final Set<UpstreamConnection> discarding = new HashSet<>();
+  private final IdleRisk risk = new IdleRisk();
   private long refused;
 
   Upstreams(EventLoopGroup loop, Config config, Sockets sockets, Log log) {
@@ -70,7 +71,7 @@
     while ((c = pick(host.idle, UpstreamConnection::since, now)) != null) {
       host.idle.remove(c);
       sockets.upstreamIdle(c, false);
-      if (c.alive() && c.reusable()) {
+      if (c.alive() && c.reusable() && !risk.risky(now - c.since(), now)) {
         c.run(call);
         return;
       }
@@ -137,6 +138,11 @@
     sockets.upstreamIdle(c, true);
   }
 
+  /** What came of the use of a connection that had stood idle. */
+  void reused(long idleNanos, boolean broke) {
+    risk.used(idleNanos, broke, System.nanoTime());
+  }
+
   void discarding(UpstreamConnection c) {
     discarding.add(c);
   }
