A host of which nothing is heard is not held to queue what was lost there

Lines: Fleet.expectedAnswer (sentSinceReport did not fade), Balancer.begin (the winner's figure alone refused). Ruled out: pressure (0.2), retry budget (full), hosts without room (all idle). What was sent now fades with the report, what is still out counts whole; and each candidate is asked whether it can answer in time.

--- a/src/main/java/corkproxy/adapter/Adapter.java
+++ b/src/main/java/corkproxy/adapter/Adapter.java
@@ -90,13 +90,6 @@
       ledger();
     } else if (line.named("membership")) {
       membership();
-    } else if (line.named("probed")) {
-      Balancer b = instance();
-      long host = line.number("host");
-      Result result = result((int) line.number("reason"));
-      if (b != null && result != null) {
-        b.onProbed(now, host, result, line.decimal("spent", 0), load());
-      }
     } else if (line.named("gone")) {
       Balancer b = instance();
       long id = line.number("txn");
@@ -282,11 +275,6 @@
       start("cancel").word(" txn=").number(request).word(" sendNo=").number(attempt).end();
     }
 
-    @Override
-    public void probe(long host) {
-      start("probe").word(" host=").number(host).end();
-    }
-
     @Override
     public void schedule(double delay, long token) {
       start("set_timer").word(" sleepFor=").time(Math.max(0, delay));
--- a/src/main/java/corkproxy/adapter/SettingsReader.java
+++ b/src/main/java/corkproxy/adapter/SettingsReader.java
@@ -47,14 +47,12 @@
     JsonNode limits = root.path("limits");
     JsonNode rules = root.path("rules");
     JsonNode fees = root.path("fees");
-    String reports = root.path("report").path("how").asText("none");
     JsonNode zone = root.path("zone");
     return new Settings(
         classes,
         tenants,
         new Settings.Limits(
             limits.path("cancel").asBoolean(false),
-            limits.path("probes").asBoolean(false),
             limits.path("retryAfter").asBoolean(false),
             limits.path("parallelTries").asBoolean(false),
             limits.path("maxAttempts").asInt(1),
@@ -68,16 +66,13 @@
             rules.path("askWithin").asDouble(0)),
         new Settings.Fees(
             fees.path("crossZone").asDouble(0),
-            fees.path("probe").asDouble(0),
             fees.path("waste").asDouble(0)),
         root.path("membershipMode").asText("automatic").equals("subscribe"),
         zone.isTextual() ? zone.asText() : null,
         root.path("position").asInt(0),
         root.path("balancers").asInt(1),
         root.path("overShareWorth").asDouble(1),
-        root.path("worthBy").asText("request").equals("work"),
-        reports.equals("answers"),
-        reports.equals("answers") || reports.equals("probe"));
+        root.path("worthBy").asText("request").equals("work"));
   }
 
   private static Settings.RequestClass requestClass(JsonNode c) {
--- a/src/main/java/corkproxy/balancer/Actions.java
+++ b/src/main/java/corkproxy/balancer/Actions.java
@@ -14,9 +14,6 @@
   /** Stops the wait for an attempt. */
   void cancel(long request, int attempt);
 
-  /** Checks a host. */
-  void probe(long host);
-
   /** Asks for {@link Balancer#onTimer} with this token after {@code delay} ms. */
   void schedule(double delay, long token);
 
--- a/src/main/java/corkproxy/balancer/Attempts.java
+++ b/src/main/java/corkproxy/balancer/Attempts.java
@@ -37,10 +37,9 @@
     final double arrivedAt;
     final double deadline;
     double standing = 1;
+    double patience;
     final List<Attempt> attempts = new ArrayList<>(2);
     int open;
-    List<Fleet.Host> asked;
-    int awaited;
     boolean ended;
     boolean streaming;
 
--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -1,6 +1,5 @@
 package corkproxy.balancer;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +24,6 @@
   private final Map<Long, Attempts.Call> calls = new HashMap<>();
   private double followBackoff = Tuning.FOLLOW_BACKOFF;
   private boolean followTimer;
-  private final boolean asks;
 
   /** Creates an instance that knows no host yet. */
   public Balancer(Settings settings, long seed, Actions actions) {
@@ -37,10 +35,6 @@
     this.attempts = new Attempts(settings.limits());
     this.admission = new Admission(settings, random, actions);
     this.draw = new Draw(settings, fleet, health, attempts, admission, random);
-    // Where hosts tell their load only when asked, and asking is cheap, light proxies ask first.
-    this.asks =
-        settings.limits().probes() && settings.reportsOnProbes() && !settings.reportsOnAnswers()
-            && Tuning.MIN_CHOICES * settings.fees().probe() <= Tuning.ASK_PRICE;
     settings.classes().forEach(c -> classes.put(c.name(), new Attempts.ClassState(c)));
   }
 
@@ -72,11 +66,11 @@
     c.standing = admission.standing(arrival.tenant());
     attempts.earnRetry();
     calls.put(c.id, c);
-    if (!asks && admission.refuses(now, type.rules, c.standing)) {
+    if (admission.refuses(now, type.rules, c.standing)) {
       admission.ended(false);
       conclude(c, now);
     } else {
-      dispatch(c, now);
+      begin(c, now);
     }
   }
 
@@ -146,7 +140,7 @@
       return; // another attempt may still answer
     }
     if (now < c.deadline - Tuning.LAST_SEND && !admission.jammed(now) && attempts.takeRetry()) {
-      dispatch(c, now);
+      begin(c, now);
     } else {
       conclude(c, now);
     }
@@ -176,26 +170,6 @@
     }
   }
 
-  /** A probe has ended. */
-  public void onProbed(double now, long host, Result result, double spent, LoadReport load) {
-    Fleet.Host h = fleet.get(host);
-    if (h == null) {
-      return; // gone from every list since
-    }
-    h.asked = false;
-    fleet.reported(h, now, load);
-    if (result == Result.TIMEOUT || result == Result.CONNECT_FAILED || result == Result.RESET) {
-      health.failed(h, now, false);
-    }
-    List<Attempts.Call> askers = h.askers;
-    h.askers = new ArrayList<>(2);
-    for (Attempts.Call c : askers) {
-      if (!c.ended && c.asked != null && --c.awaited == 0) {
-        decide(c, now);
-      }
-    }
-  }
-
   /** A timer has come due. */
   public void onTimer(double now, long token) {
     if (token == FOLLOW_TIMER) {
@@ -207,50 +181,11 @@
     if (c == null || c.ended || c.streaming) {
       return;
     }
-    if (c.asked != null) {
-      decide(c, now);
-    } else if (c.open > 0) {
+    if (c.open > 0) {
       overdue(c, now);
     }
   }
 
-  /** Asks the candidates of a light proxy, whose counts tie at zero; false without a choice. */
-  private boolean ask(Attempts.Call c, double now) {
-    double patience = Tuning.ASK_PATIENCE * c.type.rules.aim();
-    if (c.deadline - now < 2 * patience) {
-      return false;
-    }
-    List<Fleet.Host> drawn = draw.candidates(c, now);
-    if (drawn.size() < 2) {
-      return false;
-    }
-    c.asked = new ArrayList<>(drawn);
-    c.awaited = 0;
-    for (Fleet.Host h : c.asked) {
-      if (!fleet.fresh(h, now)) {
-        c.awaited++;
-        h.askers.add(c);
-        if (!h.asked) {
-          h.asked = true;
-          h.askedAt = now;
-          actions.probe(h.id);
-        }
-      }
-    }
-    if (c.awaited == 0) {
-      decide(c, now);
-    } else {
-      actions.schedule(patience, c.id);
-    }
-    return true;
-  }
-
-  private void decide(Attempts.Call c, double now) {
-    List<Fleet.Host> candidates = c.asked;
-    c.asked = null;
-    begin(c, draw.choose(c, candidates, now), now);
-  }
-
   /** The last attempt is overdue: a second copy, or where only one may be out, another in place. */
   private void overdue(Attempts.Call c, double now) {
     // Guards against copies of costly requests feeding a jam: only silence earns a second copy.
@@ -270,16 +205,11 @@
     }
   }
 
-  private void dispatch(Attempts.Call c, double now) {
-    if (!asks || !ask(c, now)) {
-      begin(c, draw.pick(c, now), now);
-    }
-  }
-
-  private void begin(Attempts.Call c, Fleet.Host h, double now) {
-    // Guards against a jam: where even the winner can't answer in time, no work is begun.
-    double most = Tuning.REFUSE_AT * c.type.rules.aim() * Math.max(Tuning.LEAST_STANDING, c.standing);
-    if (h == null || (c.attempts.isEmpty() && fleet.expectedAnswer(h, now) > most)) {
+  private void begin(Attempts.Call c, double now) {
+    // Guards against a jam: where no host can answer in time, no work is begun.
+    c.patience = Tuning.REFUSE_AT * c.type.rules.aim() * Math.max(Tuning.LEAST_STANDING, c.standing);
+    Fleet.Host h = draw.pick(c, now);
+    if (h == null) {
       conclude(c, now);
     } else {
       send(c, h, now);
--- a/src/main/java/corkproxy/balancer/Draw.java
+++ b/src/main/java/corkproxy/balancer/Draw.java
@@ -35,11 +35,19 @@
 
   /** The host for the next attempt of the call, or null where none may or should get it. */
   Fleet.Host pick(Attempts.Call c, double now) {
-    return choose(c, candidates(c, now), now);
+    candidates(c, now);
+    best = null;
+    drawn.forEach(h -> consider(h, now));
+    if (best == null) {
+      best = anyAllowed(c, now);
+    }
+    if (best != null && fleet.warmth(best, now) < 1) {
+      best.coldCredit--;
+    }
+    return best;
   }
 
-  /** The candidates drawn for the next attempt of the call; valid until the next draw. */
-  List<Fleet.Host> candidates(Attempts.Call c, double now) {
+  private void candidates(Attempts.Call c, double now) {
     // Guards against many proxies that use up the hosts' connections together (if1c0a3).
     double most = Tuning.HOST_PROXIES * fleet.ready().size() / settings.balancers();
     double own = Tuning.BASE_POOL + Tuning.POOL_PER_IN_FLIGHT * admission.peak(now);
@@ -52,24 +60,6 @@
     if (!draw(local, c, now) && (drawn.isEmpty() || admission.pressure(now) > Tuning.SPILL_FROM)) {
       draw(remote, c, now);
     }
-    return drawn;
-  }
-
-  /** The winner of these candidates, or of the panic fallback where none can be used. */
-  Fleet.Host choose(Attempts.Call c, List<Fleet.Host> candidates, double now) {
-    best = null;
-    for (int i = 0; i < candidates.size(); i++) {
-      if (usable(candidates.get(i), c, now)) {
-        consider(candidates.get(i), now);
-      }
-    }
-    if (best == null) {
-      best = anyAllowed(c, now);
-    }
-    if (best != null && fleet.warmth(best, now) < 1) {
-      best.coldCredit--;
-    }
-    return best;
   }
 
   /** Adds up to d of the pool's hosts to those drawn; true if one of them is due for a trial. */
@@ -93,12 +83,20 @@
 
   private boolean usable(Fleet.Host h, Attempts.Call c, double now) {
     return attempts.allowed(c, h, now)
-        && (c.attempts.isEmpty() || !c.tried(h))
-        && !(h.asked && now - h.askedAt >= Tuning.ASK_PATIENCE * c.type.rules.aim())
+        && (c.attempts.isEmpty() ? inTime(h, c, now) : !c.tried(h))
         && health.available(h, now, c.type.overdueAfter())
         && (fleet.warmth(h, now) >= 1 || credit(h, now));
   }
 
+  /**
+   * Whether the host can be expected to answer a first attempt in time. Each host is asked on its
+   * own: the winner's figure alone would refuse all where an idle host of which nothing new is
+   * heard wins every draw.
+   */
+  private boolean inTime(Fleet.Host h, Attempts.Call c, double now) {
+    return fleet.expectedAnswer(h, now) <= c.patience;
+  }
+
   private void consider(Fleet.Host h, double now) {
     double count = h.inFlight + health.charge(h, now);
     double wait = fleet.expectedWait(h, now);
@@ -144,7 +142,8 @@
     Fleet.Host lastResort = null;
     for (int i = 0; i < n; i++) {
       Fleet.Host h = all.get((start + i) % n);
-      if (!attempts.allowed(c, h, now) || (fleet.warmth(h, now) < 1 && !credit(h, now))) {
+      if (!attempts.allowed(c, h, now) || (fleet.warmth(h, now) < 1 && !credit(h, now))
+          || (c.attempts.isEmpty() && !inTime(h, c, now))) {
         continue;
       }
       if (health.available(h, now, c.type.overdueAfter()) && !c.tried(h)) {
--- a/src/main/java/corkproxy/balancer/Fleet.java
+++ b/src/main/java/corkproxy/balancer/Fleet.java
@@ -31,9 +31,6 @@
     LoadReport report = LoadReport.NONE;
     double reportAt = Double.NEGATIVE_INFINITY;
     int sentSinceReport;
-    boolean asked;
-    double askedAt;
-    List<Attempts.Call> askers = new ArrayList<>(2);
 
     double failShare;
     int failuresInRow;
@@ -43,7 +40,6 @@
     double lastEjection = Double.NEGATIVE_INFINITY;
     double ejectedUntil;
     boolean halfOpen;
-    boolean out;
 
     double coldCredit;
     double coldCreditAt;
@@ -127,7 +123,7 @@
     if (different) {
       rebuild();
     }
-    byId.values().removeIf(h -> !h.listed && h.inFlight == 0 && !h.asked); // or churn fills memory
+    byId.values().removeIf(h -> !h.listed && h.inFlight == 0); // or churn fills memory
   }
 
   private void restarted(Host h, double now, java.util.SplittableRandom random) {
@@ -192,7 +188,10 @@
   /**
    * The time (ms) that the host's queue will take; 0 where nothing tells. Guards against a report
    * that is believed for longer than its queue lasts, as what is refused for it brings no newer
-   * one; and against one that is older than what we sent: the host holds at least all of that.
+   * one; and against one that is older than what we sent: the host holds at least what of that is
+   * still out. What was sent and is over fades with the report, or requests that got no answer,
+   * and so no report, would count as a queue for ever. It should serve for any figure that only
+   * an answer renews, and does harm where a queue lasts for many aims and nothing is heard of it.
    */
   double expectedAnswer(Host h, double now) {
     KindSpeed k = kinds.get(h.kind);
@@ -203,13 +202,13 @@
     double others = meanHeld * Math.exp(-(now - anyReportAt) / reportFade);
     double left = h.report.held() - (now - h.reportAt) / k.msPerHeld;
     double told = fresh == 0 ? 0 : Math.max(Math.min(h.report.held(), others), left);
-    double held = Math.max(h.inFlight, fresh * told + (1 - fresh) * others + h.sentSinceReport);
+    double held = Math.max(h.inFlight, fresh * (told + h.sentSinceReport) + (1 - fresh) * others);
     return held > Tuning.QUEUE_SEEN ? k.msPerHeld * (held + 1) : 0;
   }
 
   /** Whether the host has told its load just now. */
   boolean fresh(Host h, double now) {
-    return now - h.reportAt <= Tuning.ASK_FRESH;
+    return now - h.reportAt <= Tuning.REPORT_FRESH;
   }
 
   void reported(Host h, double now, LoadReport report) {
--- a/src/main/java/corkproxy/balancer/Result.java
+++ b/src/main/java/corkproxy/balancer/Result.java
@@ -1,6 +1,6 @@
 package corkproxy.balancer;
 
-/** How an attempt or a probe ended. */
+/** How an attempt ended. */
 public enum Result {
   OK(false),
   ERROR(false),
--- a/src/main/java/corkproxy/balancer/Settings.java
+++ b/src/main/java/corkproxy/balancer/Settings.java
@@ -14,9 +14,7 @@
     int position,
     int balancers,
     double overShareWorth,
-    boolean worthByWork,
-    boolean reportsOnAnswers,
-    boolean reportsOnProbes) {
+    boolean worthByWork) {
 
   /** Copies the lists, so that settings never change. */
   public Settings {
@@ -66,7 +64,6 @@
   /** What the deployment permits. */
   public record Limits(
       boolean cancel,
-      boolean probes,
       boolean retryAfter,
       boolean parallelTries,
       int maxAttempts,
@@ -78,5 +75,5 @@
       double cold, double startCapacity, double fall, double fallMultiple, double askWithin) {}
 
   /** Prices that bear on choices. */
-  public record Fees(double crossZone, double probe, double waste) {}
+  public record Fees(double crossZone, double waste) {}
 }
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -128,14 +128,8 @@
   /** The least part of the allowed queue that a tenant far over its share may still use. */
   static final double LEAST_STANDING = 0.4;
 
-  /** Part of the aim that a request may wait for its candidates to tell their load. */
-  static final double ASK_PATIENCE = 0.1;
-
-  /** A report younger than this (ms) is used as it is: bounds what a busy proxy asks. */
-  static final double ASK_FRESH = 20;
-
-  /** The most that asking may cost, in parts of the worth of a request. */
-  static final double ASK_PRICE = 0.05;
+  /** A report younger than this (ms) tells what the host held when a request was sent to it. */
+  static final double REPORT_FRESH = 20;
 
   /** First wait (ms) before discovery is asked again, doubled up to half of the time allowed. */
   static final double FOLLOW_BACKOFF = 500;
--- a/src/main/java/corkproxy/proxy/Dispatcher.java
+++ b/src/main/java/corkproxy/proxy/Dispatcher.java
@@ -140,10 +140,6 @@
     deliver(e, () -> balancer.onClientGone(now(), e.id));
   }
 
-  void probed(Host host, Result result, double spent, LoadReport report) {
-    deliver(null, () -> balancer.onProbed(now(), host.id, result, spent, report));
-  }
-
   private void deliver(Exchange about, Runnable what) {
     events.add(new Event(about, what));
     if (running) {
@@ -225,14 +221,6 @@
     }
   }
 
-  @Override
-  public void probe(long host) {
-    Host h = hosts.get(host);
-    if (h != null) {
-      new Probe(this, h, settings.reportsOnProbes()).start();
-    }
-  }
-
   @Override
   public void schedule(double delay, long token) {
     Runnable event = () -> deliver(exchanges.get(token), () -> balancer.onTimer(now(), token));
--- a/src/main/java/corkproxy/proxy/UpstreamCall.java
+++ b/src/main/java/corkproxy/proxy/UpstreamCall.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
 
-/** What one connection to a host carries at a time: an attempt of a request, or a probe. */
+/** What one connection to a host carries at a time: an attempt of a request. */
 abstract class UpstreamCall {
   final Host host;
   private Channel connecting;
--- /dev/null
+++ b/src/test/java/corkproxy/proxy/RefusalTest.java
@@ -0,0 +1,48 @@
+package corkproxy.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** What is refused, and for how long, seen from the application's side. */
+class RefusalTest {
+  private static String claim(int timeout) {
+    return Rig.post("claim", timeout, "", "visit=1");
+  }
+
+  private static String report(int held) {
+    return "HTTP/1.1 200 OK\r\nX-Server-Load: rif=" + held + "\r\nContent-Length: 2\r\n\r\nok";
+  }
+
+  /**
+   * Guards against a host that is left alone for good: what was sent to it and lost brought no newer
+   * report, and must not count as its queue for ever.
+   */
+  @Test
+  void refusalsEndAfterWhatRaisedThem() throws Exception {
+    AtomicInteger seen = new AtomicInteger();
+    ScriptedServer.Reply reply =
+        r -> {
+          int n = seen.incrementAndGet();
+          if (n == 1) {
+            Thread.sleep(350); // one of a queue of six: each takes long
+            return report(6);
+          }
+          if (n <= 9) {
+            Thread.sleep(600_000); // lost
+          }
+          return report(0);
+        };
+    try (ScriptedServer host = ScriptedServer.host(reply);
+        Rig rig = new Rig(Rig.server("a", host.port()))) {
+      assertThat(rig.call(claim(60_000)).status()).isEqualTo(200);
+      long until = System.nanoTime() + 30_000_000_000L;
+      int status = 0;
+      while (status != 200 && System.nanoTime() < until) {
+        status = rig.call(claim(100)).status();
+      }
+      assertThat(status).isEqualTo(200);
+    }
+  }
+}
