Refuse first what comes back too late to be of use

Clients come back 71 ms after a refusal, with 72 ms less of their budget each time (400, 328, 257, 185 of 400 ms); the aim of 100 ms runs from the first try. So refusing did feed itself, as the module took each try for a new request. Lines: Balancer.begin (the whole aim as the limit of the expected answer), Admission.refuses (by worth and share alone). Ruled out: late by the loop (0.1 ms to the first attempt), by our own retries (att/r 0.7), by hosts after one attempt (1356 of the 1627 took under 100 ms). What is left of the aim is now worked out from the budget; what would be late as answers take now is refused first. First tries are told from retries by the budget most of the class bring, as some clients give each try a part of their deadline.

--- a/src/main/java/corkproxy/balancer/Admission.java
+++ b/src/main/java/corkproxy/balancer/Admission.java
@@ -110,17 +110,21 @@
   }
 
   /** Whether to refuse on arrival: as answers near the aim, ever more, the least worth first. */
-  boolean refuses(double now, Settings.RequestClass rules, double standing) {
+  boolean refuses(double now, Attempts.Call c) {
     double over = (pressure(now) - Tuning.REFUSE_FROM) / Tuning.REFUSE_SPAN;
     boolean turned = overloaded ? pressure(now) < Tuning.REFUSE_FROM / 2 : over > 0.5;
     if (turned) {
       overloaded = !overloaded;
       actions.log(overloaded ? "overload: refusing early" : "overload over");
     }
+    Settings.RequestClass rules = c.type.rules;
+    if (c.type.tooLate(c.aimLeft) && pressure(now) > Tuning.REFUSE_LATE_FROM) {
+      return random.nextDouble() >= rules.lateWorth();
+    }
     if (over <= 0) {
       return false;
     }
-    double relative = meanValue > 0 ? Math.max(0.2, standing * rules.value() / meanValue) : 1;
+    double relative = meanValue > 0 ? Math.max(0.2, c.standing * rules.value() / meanValue) : 1;
     return random.nextDouble() < Math.min(Tuning.REFUSE_MOST, over / relative);
   }
 }
--- a/src/main/java/corkproxy/balancer/Attempts.java
+++ b/src/main/java/corkproxy/balancer/Attempts.java
@@ -36,6 +36,7 @@
     final ClassState type;
     final double arrivedAt;
     final double deadline;
+    final double aimLeft;
     double standing = 1;
     double patience;
     final List<Attempt> attempts = new ArrayList<>(2);
@@ -48,6 +49,7 @@
       this.type = type;
       this.arrivedAt = arrivedAt;
       this.deadline = arrivedAt + budget;
+      this.aimLeft = type.aimLeft(budget);
     }
 
     boolean tried(Fleet.Host h) {
@@ -61,6 +63,7 @@
     double meanAnswer;
     double deviation;
     int samples;
+    double firstBudget;
 
     ClassState(Settings.RequestClass rules) {
       this.rules = rules;
@@ -75,6 +78,24 @@
       meanAnswer += alpha * (spent - meanAnswer);
     }
 
+    /**
+     * What is left (ms) of the aim for a request that came with this budget, below 0 once it is past.
+     * The aim runs from the client's first try, and a retry's budget is what is left of the whole
+     * deadline. Guards against retries that can't be of use any more taking the place of requests
+     * that can, whatever made clients retry. Harm: a client that always asks for less time than
+     * others of its class is taken to retry, and is refused before them in a jam.
+     */
+    double aimLeft(double budget) {
+      double told = Math.min(budget, rules.deadline());
+      firstBudget = Math.max(told, firstBudget + Tuning.BUDGET_ALPHA * (told - firstBudget));
+      return rules.aim() - (told < Tuning.RETRY_BUDGET * firstBudget ? rules.deadline() - told : 0);
+    }
+
+    /** Whether a request with so much of its aim left would be late, as answers take now. */
+    boolean tooLate(double aimLeft) {
+      return aimLeft < Math.min(meanAnswer, rules.aim());
+    }
+
     /** Past this an attempt is overdue: repeating a merely long one would waste its work. */
     double overdueAfter() {
       return meanAnswer + Tuning.OVERDUE_DEVIATIONS * deviation;
--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -66,7 +66,7 @@
     c.standing = admission.standing(arrival.tenant());
     attempts.earnRetry();
     calls.put(c.id, c);
-    if (admission.refuses(now, type.rules, c.standing)) {
+    if (admission.refuses(now, c)) {
       admission.ended(false);
       conclude(c, now);
     } else {
@@ -207,7 +207,7 @@
 
   private void begin(Attempts.Call c, double now) {
     // Guards against a jam: where no host can answer in time, no work is begun.
-    c.patience = Tuning.REFUSE_AT * c.type.rules.aim() * Math.max(Tuning.LEAST_STANDING, c.standing);
+    c.patience = Tuning.REFUSE_AT * Math.max(0, c.aimLeft) * Math.max(Tuning.LEAST_STANDING, c.standing);
     Fleet.Host h = draw.pick(c, now);
     if (h == null) {
       conclude(c, now);
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -116,6 +116,15 @@
   /** A proxy with fewer answers than one in a tenth of this time (in aims) weighs each one more. */
   static final double PRESSURE_MEMORY = 7.5;
 
+  /** Pressure from which requests are refused that can't be answered within their aim any more. */
+  static final double REFUSE_LATE_FROM = 0.3;
+
+  /** A budget under this part of what first tries bring is what is left of the client's time. */
+  static final double RETRY_BUDGET = 0.9;
+
+  /** Part by which each request draws the budget of first tries down, so that a change is learned. */
+  static final double BUDGET_ALPHA = 0.02;
+
   /** Time constant, in aims, at which pressure fades when no answers come: queues drain slowly. */
   static final double PRESSURE_FADE = 25;
 
--- a/src/test/java/corkproxy/proxy/RefusalTest.java
+++ b/src/test/java/corkproxy/proxy/RefusalTest.java
@@ -45,4 +45,32 @@
       assertThat(status).isEqualTo(200);
     }
   }
+
+  /**
+   * Guards against retries whose aim is past taking the place of requests that can still be of use.
+   */
+  @Test
+  void whatComesTooLateIsRefusedBeforeTheRest() throws Exception {
+    ScriptedServer.Reply slow =
+        r -> {
+          Thread.sleep(240); // six tenths of the aim
+          return ScriptedServer.ok("ok");
+        };
+    try (ScriptedServer host = ScriptedServer.host(slow);
+        Rig rig = new Rig(Rig.server("a", host.port()))) {
+      for (int i = 0; i < 16; i++) {
+        rig.call(claim(800));
+      }
+      int served = host.requests.size();
+      for (int i = 0; i < 10; i++) {
+        assertThat(rig.call(claim(300)).status()).isEqualTo(503); // 500 ms of 800 are gone
+      }
+      assertThat(host.requests).hasSize(served);
+      int status = 0;
+      for (int i = 0; i < 200 && status != 200; i++) {
+        status = rig.call(claim(800)).status();
+      }
+      assertThat(status).isEqualTo(200);
+    }
+  }
 }
