Count what a host loses by class of request

The three others answered in 70 ms and were refused for, while these three stood idle: lost claims stayed in flight for 400 ms, charged the host and had it ejected for both classes, and a log that came through readmitted it for claims, of which a burst of ten was then lost. Lines: Draw.consider (one count for all classes), Health.failed and succeeded. Ruled out: losses by size of the body, by connection (new ones lose as many), by time in bursts, by n0 or n1. A host's losses are kept by class and count more for that class only; what is lost of other classes does not count as in flight. Room: answers that are streamed, which no class here has and the proxy never reported, are taken out.

--- a/src/main/java/corkproxy/adapter/Adapter.java
+++ b/src/main/java/corkproxy/adapter/Adapter.java
@@ -96,13 +96,6 @@
       if (b != null) {
         b.onClientGone(now, id);
       }
-    } else if (line.named("first_byte")) {
-      Balancer b = instance();
-      long id = line.number("txn");
-      int number = (int) line.number("sendNo");
-      if (b != null) {
-        b.onFirstByte(now, id, number, line.decimal("spent", 0));
-      }
     } else if (line.named("retire")) {
       instances.remove(line.number("who"));
     } else if (line.named("new_instance")) {
--- a/src/main/java/corkproxy/adapter/SettingsReader.java
+++ b/src/main/java/corkproxy/adapter/SettingsReader.java
@@ -97,7 +97,6 @@
         scope,
         c.path("repeatWindow").asDouble(0),
         c.path("value").asDouble(1),
-        c.path("lateWorth").asDouble(0),
-        c.path("streamed").asBoolean(false));
+        c.path("lateWorth").asDouble(0));
   }
 }
--- a/src/main/java/corkproxy/balancer/Admission.java
+++ b/src/main/java/corkproxy/balancer/Admission.java
@@ -31,6 +31,7 @@
   private double pressure;
   private double pressureAt;
   private double meanValue;
+  private double turnedAwayAt = Double.NEGATIVE_INFINITY;
   private boolean overloaded;
 
   Admission(Settings settings, SplittableRandom random, Actions actions) {
@@ -99,6 +100,13 @@
     pressureAt = now;
   }
 
+  /** Notes that a request was refused which could still have been of use: there is no room. */
+  void turnedAway(double now, Attempts.Call c) {
+    if (!c.type.tooLate(c.aimLeft)) {
+      turnedAwayAt = now;
+    }
+  }
+
   /** Recent answer time as part of the aim, 0 to 2. */
   double pressure(double now) {
     return pressure * Math.exp(-(now - pressureAt) / (Tuning.PRESSURE_FADE * settings.meanAim()));
@@ -118,7 +126,9 @@
       actions.log(overloaded ? "overload: refusing early" : "overload over");
     }
     Settings.RequestClass rules = c.type.rules;
-    if (c.type.tooLate(c.aimLeft) && pressure(now) > Tuning.REFUSE_LATE_FROM) {
+    if (c.type.tooLate(c.aimLeft)
+        && (pressure(now) > Tuning.REFUSE_LATE_FROM
+            || now - turnedAwayAt < Tuning.REFUSE_LATE_FOR * settings.meanAim())) {
       return random.nextDouble() >= rules.lateWorth();
     }
     if (over <= 0) {
--- a/src/main/java/corkproxy/balancer/Attempts.java
+++ b/src/main/java/corkproxy/balancer/Attempts.java
@@ -42,7 +42,6 @@
     final List<Attempt> attempts = new ArrayList<>(2);
     int open;
     boolean ended;
-    boolean streaming;
 
     Call(long id, ClassState type, double arrivedAt, double budget) {
       this.id = id;
@@ -118,7 +117,7 @@
    * {@code target} is null. Guards rule 1 (nothing after the end) and rule 2 (no effect twice).
    */
   boolean allowed(Call c, Fleet.Host target, double now) {
-    if (c.ended || c.streaming) {
+    if (c.ended) {
       return false;
     }
     if (target != null
--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -79,7 +79,7 @@
     double budget = Math.max(1, a.budget());
     Settings.Semantics once = Settings.Semantics.AT_MOST_ONCE;
     return new Attempts.ClassState(
-        new Settings.RequestClass(name, budget, budget, once, Settings.Scope.ALL, 0, 1, 0, false));
+        new Settings.RequestClass(name, budget, budget, once, Settings.Scope.ALL, 0, 1, 0));
   }
 
   /** An attempt has ended. {@code over} tells that the request is over with it or before. */
@@ -97,7 +97,7 @@
     if (over && !c.ended) {
       c.ended = true;
       cancelOthers(c, -1);
-    } else if (!c.ended && !c.streaming) {
+    } else if (!c.ended) {
       again(c, now);
     }
     forgetIfDone(c);
@@ -106,16 +106,17 @@
   private void learn(Attempts.Attempt a, Result result, double now, double spent, Attempts.Call c) {
     Attempts.ClassState type = c.type;
     admission.ended(result == Result.OK);
+    if (result == Result.OK || result == Result.TIMEOUT || result == Result.RESET) {
+      health.ended(a.host, type, now, result != Result.OK); // errors are charged, and known at once
+    }
     switch (result) {
       case OK -> {
         health.succeeded(a.host, now);
         a.host.newestAnswered = Math.max(a.host.newestAnswered, a.sentAt);
-        if (!c.streaming) {
-          fleet.answered(a.host, now, spent / Math.max(0.1, type.meanAnswer));
-          type.answered(spent);
-          fleet.queued(a.host, a.heldBefore, spent);
-          admission.answered(now, spent, type.rules.aim());
-        }
+        fleet.answered(a.host, now, spent / Math.max(0.1, type.meanAnswer));
+        type.answered(spent);
+        fleet.queued(a.host, a.heldBefore, spent);
+        admission.answered(now, spent, type.rules.aim());
       }
       case ERROR -> health.failed(a.host, now, true);
       case FULL -> {
@@ -146,20 +147,6 @@
     }
   }
 
-  /** The answer to a streamed request has begun; the attempt now belongs to the client. */
-  public void onFirstByte(double now, long request, int number, double spent) {
-    Attempts.Call c = calls.get(request);
-    if (c == null || c.ended || number < 0 || number >= c.attempts.size()) {
-      return;
-    }
-    Attempts.Attempt a = c.attempts.get(number);
-    if (!c.streaming) {
-      learn(a, Result.OK, now, spent, c);
-      c.streaming = true;
-      cancelOthers(c, number);
-    }
-  }
-
   /** The client has gone; attempts that are out still get their outcome. */
   public void onClientGone(double now, long request) {
     Attempts.Call c = calls.get(request);
@@ -178,7 +165,7 @@
       return;
     }
     Attempts.Call c = calls.get(token);
-    if (c == null || c.ended || c.streaming) {
+    if (c == null || c.ended) {
       return;
     }
     if (c.open > 0) {
@@ -230,6 +217,7 @@
   /** The final answer, where no attempt can bring it any more. */
   private void conclude(Attempts.Call c, double now) {
     if (attempts.allowed(c, null, now)) {
+      admission.turnedAway(now, c);
       actions.refuse(c.id, 0);
     } else {
       actions.fail(c.id);
--- a/src/main/java/corkproxy/balancer/Draw.java
+++ b/src/main/java/corkproxy/balancer/Draw.java
@@ -37,7 +37,7 @@
   Fleet.Host pick(Attempts.Call c, double now) {
     candidates(c, now);
     best = null;
-    drawn.forEach(h -> consider(h, now));
+    drawn.forEach(h -> consider(h, c, now));
     if (best == null) {
       best = anyAllowed(c, now);
     }
@@ -97,8 +97,8 @@
     return fleet.expectedAnswer(h, now) <= c.patience;
   }
 
-  private void consider(Fleet.Host h, double now) {
-    double count = h.inFlight + health.charge(h, now);
+  private void consider(Fleet.Host h, Attempts.Call c, double now) {
+    double count = health.count(h, c.type, now);
     double wait = fleet.expectedWait(h, now);
     boolean take;
     if (best == null || count < bestCount - 0.5) {
--- a/src/main/java/corkproxy/balancer/Fleet.java
+++ b/src/main/java/corkproxy/balancer/Fleet.java
@@ -32,6 +32,7 @@
     double reportAt = Double.NEGATIVE_INFINITY;
     int sentSinceReport;
 
+    final Map<Attempts.ClassState, Losses> losses = new HashMap<>(4);
     double failShare;
     int failuresInRow;
     double charge;
@@ -52,6 +53,12 @@
     }
   }
 
+  /** The part of a class's requests that a host has lately lost. */
+  static final class Losses {
+    double share;
+    double at;
+  }
+
   /** Speed of a kind of machine, the prior for hosts with few answers of their own. */
   private static final class KindSpeed {
     double slowness = 1;
@@ -129,6 +136,7 @@
   private void restarted(Host h, double now, java.util.SplittableRandom random) {
     // A new process owes nothing to what the old one did; its credit starts at chance, so that
     // many proxies told at once do not all send at once.
+    h.losses.clear();
     h.failShare = 0;
     h.failuresInRow = 0;
     h.ejectedUntil = 0;
@@ -202,10 +210,23 @@
     double others = meanHeld * Math.exp(-(now - anyReportAt) / reportFade);
     double left = h.report.held() - (now - h.reportAt) / k.msPerHeld;
     double told = fresh == 0 ? 0 : Math.max(Math.min(h.report.held(), others), left);
-    double held = Math.max(h.inFlight, fresh * (told + h.sentSinceReport) + (1 - fresh) * others);
+    double held = Math.max(h.inFlight - lost(h, null, now), fresh * (told + h.sentSinceReport) + (1 - fresh) * others);
     return held > Tuning.QUEUE_SEEN ? k.msPerHeld * (held + 1) : 0;
   }
 
+  /**
+   * Attempts out past their aim that later ones have overtaken, but for those of the class {@code of}.
+   * They are lost rather than queued, and what is lost of one class tells nothing of another.
+   */
+  int lost(Host h, Attempts.ClassState of, double now) {
+    int n = 0;
+    for (Attempts.Attempt a = h.oldest; a != null && a.sentAt < h.newestAnswered; a = a.after) {
+      Attempts.ClassState type = a.call.type;
+      n += type != of && now - a.sentAt > type.rules.aim() ? 1 : 0;
+    }
+    return n;
+  }
+
   /** Whether the host has told its load just now. */
   boolean fresh(Host h, double now) {
     return now - h.reportAt <= Tuning.REPORT_FRESH;
--- a/src/main/java/corkproxy/balancer/Health.java
+++ b/src/main/java/corkproxy/balancer/Health.java
@@ -54,6 +54,30 @@
     return h.charge < 0.05 ? 0 : h.charge * Math.exp(-(now - h.chargeAt) / (Tuning.CHARGE_FADE * aim));
   }
 
+  /**
+   * What a request of this class counts at the host: the own ones in flight, and what losses add.
+   * Guards against a host that loses one class, or a part of each, and is quick with the rest: it
+   * looks idle. It is used where the others are busier by as much, so the rest of its room is not
+   * lost, and no trial is needed. Harm: a class that is lost everywhere by its own fault is
+   * spread by chance losses instead of by counts.
+   */
+  double count(Fleet.Host h, Attempts.ClassState type, double now) {
+    return h.inFlight - fleet.lost(h, type, now) + charge(h, now)
+        + Tuning.LOSS_CHARGE * lossShare(h.losses.get(type), now);
+  }
+
+  private double lossShare(Fleet.Losses l, double now) {
+    return l == null ? 0 : l.share * Math.exp(-(now - l.at) / (Tuning.LOSS_FADE * aim));
+  }
+
+  /** An attempt of this class was answered, or was lost. */
+  void ended(Fleet.Host h, Attempts.ClassState type, double now, boolean lost) {
+    Fleet.Losses l = h.losses.computeIfAbsent(type, t -> new Fleet.Losses());
+    double share = lossShare(l, now);
+    l.share = share + Tuning.LATENCY_ALPHA * ((lost ? 1 : 0) - share);
+    l.at = now;
+  }
+
   void succeeded(Fleet.Host h, double now) {
     h.lastAnswer = now;
     h.failuresInRow = 0;
--- a/src/main/java/corkproxy/balancer/Settings.java
+++ b/src/main/java/corkproxy/balancer/Settings.java
@@ -55,8 +55,7 @@
       Scope scope,
       double repeatWindow,
       double value,
-      double lateWorth,
-      boolean streamed) {}
+      double lateWorth) {}
 
   /** A tenant and its share. */
   public record Tenant(String name, double quotaPerSecond, double portion) {}
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -69,6 +69,12 @@
   /** Time constant, in aims, at which that charge decays. */
   static final double CHARGE_FADE = 5;
 
+  /** What a host that loses all of a class counts more for it: about the queue that takes an aim. */
+  static final double LOSS_CHARGE = 10;
+
+  /** Time constant, in aims, at which a host's losses of a class are forgotten, as ejections are. */
+  static final double LOSS_FADE = 20;
+
   /** Part of the fall multiple that all proxies together may use on a cold host. */
   static final double COLD_SHARE = 0.3;
 
@@ -119,6 +125,9 @@
   /** Pressure from which requests are refused that can't be answered within their aim any more. */
   static final double REFUSE_LATE_FROM = 0.3;
 
+  /** How long, in aims, they are refused after one was that is still of use: until room is sure. */
+  static final double REFUSE_LATE_FOR = 5;
+
   /** A budget under this part of what first tries bring is what is left of the client's time. */
   static final double RETRY_BUDGET = 0.9;
 
--- a/src/test/java/corkproxy/balancer/Bench.java
+++ b/src/test/java/corkproxy/balancer/Bench.java
@@ -18,7 +18,7 @@
   private final java.util.Map<Long, Integer> numbers = new java.util.HashMap<>();
 
   static Settings.RequestClass type(String name, Settings.Semantics s, Settings.Scope scope) {
-    return new Settings.RequestClass(name, 400, 800, s, scope, 300, 1, 0, false);
+    return new Settings.RequestClass(name, 400, 800, s, scope, 300, 1, 0);
   }
 
   static Settings settings(Settings.RequestClass... classes) {
