One draw of chance decides on refusals for a moment

Each try drew a chance of its own, so at a chance of 0.6 seven in eight got in, and the pressure had to rise to 0.8 to 1.2 before anything stayed out: answers were late (9 %), and refusals went in waves of 2 s (pressure 0.7, 0.38, 0.84, 0.47, ...). Lines: Admission.refuses. Ruled out: retries past their aim (budgets hardly fall), losses (20 time-outs in 10 s), the loop. The chance is now that of the moment, a twentieth of an aim, in even steps. RefusalTest fails without it (16 of 16 bursts of tries are answered unlike).

--- a/src/main/java/corkproxy/balancer/Admission.java
+++ b/src/main/java/corkproxy/balancer/Admission.java
@@ -31,6 +31,7 @@
   private double pressure;
   private double pressureAt;
   private double meanValue;
+  private final double start;
   private double turnedAwayAt = Double.NEGATIVE_INFINITY;
   private boolean overloaded;
 
@@ -38,6 +39,7 @@
     this.settings = settings;
     settings.tenants().forEach(t -> shares.put(t.name(), new Share(t.portion())));
     this.random = random;
+    this.start = random.nextDouble();
     this.actions = actions;
   }
 
@@ -135,6 +137,15 @@
       return false;
     }
     double relative = meanValue > 0 ? Math.max(0.2, c.standing * rules.value() / meanValue) : 1;
-    return random.nextDouble() < Math.min(Tuning.REFUSE_MOST, over / relative);
+    return coin(now) < Math.min(Tuning.REFUSE_MOST, over / relative);
+  }
+
+  /**
+   * Chance that lasts for a moment, spread evenly over the moments. Guards against clients that come
+   * back at once: with a chance of its own for each try nearly all would be let through in the end.
+   */
+  private double coin(double now) {
+    double turn = start + Math.floor(now / (Tuning.REFUSE_SLOT * settings.meanAim())) * Tuning.GOLDEN;
+    return turn - Math.floor(turn);
   }
 }
--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -204,7 +204,8 @@
   }
 
   private void send(Attempts.Call c, Fleet.Host h, double now) {
-    double held = fleet.fresh(h, now) ? h.report.held() + h.sentSinceReport : Double.NaN;
+    boolean told = now - h.reportAt <= Tuning.REPORT_FRESH;
+    double held = told ? h.report.held() + h.sentSinceReport : Double.NaN;
     attempts.start(c, h, now).heldBefore = held;
     admission.inFlight(now, 1);
     actions.send(c.id, h.id, 0);
--- a/src/main/java/corkproxy/balancer/Fleet.java
+++ b/src/main/java/corkproxy/balancer/Fleet.java
@@ -33,7 +33,6 @@
     int sentSinceReport;
 
     final Map<Attempts.ClassState, Losses> losses = new HashMap<>(4);
-    double failShare;
     int failuresInRow;
     double charge;
     double chargeAt;
@@ -137,7 +136,6 @@
     // A new process owes nothing to what the old one did; its credit starts at chance, so that
     // many proxies told at once do not all send at once.
     h.losses.clear();
-    h.failShare = 0;
     h.failuresInRow = 0;
     h.ejectedUntil = 0;
     h.halfOpen = false;
@@ -227,11 +225,6 @@
     return n;
   }
 
-  /** Whether the host has told its load just now. */
-  boolean fresh(Host h, double now) {
-    return now - h.reportAt <= Tuning.REPORT_FRESH;
-  }
-
   void reported(Host h, double now, LoadReport report) {
     if (report == null || Double.isNaN(report.held())) {
       return;
--- a/src/main/java/corkproxy/balancer/Health.java
+++ b/src/main/java/corkproxy/balancer/Health.java
@@ -81,10 +81,12 @@
   void succeeded(Fleet.Host h, double now) {
     h.lastAnswer = now;
     h.failuresInRow = 0;
-    h.failShare -= Tuning.FAILURE_ALPHA * h.failShare;
+    readmit(h);
+  }
+
+  private void readmit(Fleet.Host h) {
     if (h.halfOpen) {
       h.halfOpen = false;
-      h.failShare = 0;
       actions.log("host " + h.id + " readmitted");
     }
   }
@@ -94,12 +96,10 @@
       h.lastAnswer = now;
     }
     h.failuresInRow++;
-    h.failShare += Tuning.FAILURE_ALPHA * (1 - h.failShare);
     h.charge = charge(h, now) + Tuning.FAILURE_CHARGE;
     h.chargeAt = now;
     if (now >= h.ejectedUntil
-        && (h.halfOpen || h.failuresInRow >= Tuning.FAILURES_IN_A_ROW
-            || h.failShare >= Tuning.FAILURE_SHARE)) {
+        && (h.halfOpen || h.failuresInRow >= Tuning.FAILURES_IN_A_ROW)) {
       eject(h, now);
     }
   }
@@ -109,10 +109,7 @@
     h.lastAnswer = now;
     h.charge = charge(h, now) + Tuning.FAILURE_CHARGE;
     h.chargeAt = now;
-    if (h.halfOpen) {
-      h.halfOpen = false;
-      actions.log("host " + h.id + " readmitted");
-    }
+    readmit(h);
   }
 
   private void eject(Fleet.Host h, double now) {
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -46,12 +46,6 @@
   /** Failures in a row that eject a host. */
   static final int FAILURES_IN_A_ROW = 3;
 
-  /** Share of failures (smoothed) that ejects a host. */
-  static final double FAILURE_SHARE = 0.5;
-
-  /** Smoothing of the failure share: about the last five outcomes. */
-  static final double FAILURE_ALPHA = 0.2;
-
   /** First ejection, in aims, doubled each time up to the last. */
   static final double EJECT_BASE = 2.5;
 
@@ -119,6 +113,12 @@
   /** The most of a mean class that is refused: the rest finds out when the jam is over. */
   static final double REFUSE_MOST = 0.9;
 
+  /** How long, in aims, one draw of chance decides on refusals: retries at once meet the same. */
+  static final double REFUSE_SLOT = 0.05;
+
+  /** Steps of this part of a turn fall evenly, however many are taken. */
+  static final double GOLDEN = 0.6180339887;
+
   /** A proxy with fewer answers than one in a tenth of this time (in aims) weighs each one more. */
   static final double PRESSURE_MEMORY = 7.5;
 
--- a/src/test/java/corkproxy/balancer/BalancerTest.java
+++ b/src/test/java/corkproxy/balancer/BalancerTest.java
@@ -185,6 +185,7 @@
     }
     int sent = bench.sends.size();
     for (int i = 1_000; i < 1_050; i++) {
+      bench.now += 20; // what comes in the same moment meets the same answer
       b.onRequest(bench.now, Bench.request(i, SAFE, 800));
     }
     assertThat(bench.refused).hasSizeGreaterThan(20);
@@ -291,6 +292,7 @@
     for (int i = 0; i < 180; i++) {
       int before = bench.refused.size();
       boolean y = i % 9 == 0;
+      bench.now += 20;
       b.onRequest(bench.now, new Arrival(1_000 + i, SAFE, y ? "y" : "x", 800, Double.NaN, false));
       refused[y ? 1 : 0] += bench.refused.size() - before;
     }
--- a/src/test/java/corkproxy/proxy/RefusalTest.java
+++ b/src/test/java/corkproxy/proxy/RefusalTest.java
@@ -2,6 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
@@ -73,4 +77,37 @@
       assertThat(status).isEqualTo(200);
     }
   }
+
+  /** Guards against clients that come back at once until chance lets them through. */
+  @Test
+  void triesAtOnceMeetTheSameAnswer() throws Exception {
+    ScriptedServer.Reply slow =
+        r -> {
+          Thread.sleep(300); // about half are refused at three quarters of the aim
+          return ScriptedServer.ok("ok");
+        };
+    List<Peer> clients = new ArrayList<>();
+    try (ScriptedServer host = ScriptedServer.host(slow);
+        Rig rig = new Rig(Rig.server("a", host.port()))) {
+      for (int i = 0; i < 8; i++) {
+        clients.add(rig.client());
+      }
+      int mixed = 0;
+      for (int i = 0; i < 24; i++) {
+        for (Peer c : clients) {
+          c.write(claim(800));
+        }
+        Set<Integer> answers = new HashSet<>();
+        for (Peer c : clients) {
+          answers.add(c.read().status());
+        }
+        mixed += i >= 8 && answers.size() > 1 ? 1 : 0; // the first ones raise the pressure
+      }
+      assertThat(mixed).isLessThan(8); // of 16; chance for each mixes nearly all
+    } finally {
+      for (Peer c : clients) {
+        c.close();
+      }
+    }
+  }
 }
