Packages, artifact, jar, archive and log lines carry the product's name, rillyard

Need: the product is called rillyard; its packages, jar and log lines still had the older name.

Imports are sorted anew, since the new name stands elsewhere in the alphabet.

--- a/src/main/java/corkproxy/Main.java
+++ b/src/main/java/rillyard/Main.java
@@ -1,11 +1,11 @@
-package corkproxy;
+package rillyard;
 
 import java.io.IOException;
-import corkproxy.adapter.Adapter;
-import corkproxy.adapter.MalformedInputException;
-import corkproxy.proxy.ConfigException;
-import corkproxy.proxy.Proxy;
-import corkproxy.proxy.Rehearsal;
+import rillyard.adapter.Adapter;
+import rillyard.adapter.MalformedInputException;
+import rillyard.proxy.ConfigException;
+import rillyard.proxy.Proxy;
+import rillyard.proxy.Rehearsal;
 
 /** Entry point of the jar. */
 public final class Main {
@@ -24,12 +24,12 @@
         case "rehearse" -> Rehearsal.run();
         case "adapter" -> new Adapter(System.in, System.out, System.err).run();
         default -> {
-          System.err.println("usage: java -jar corkproxy.jar proxy|adapter|rehearse");
+          System.err.println("usage: java -jar rillyard.jar proxy|adapter|rehearse");
           System.exit(2);
         }
       }
     } catch (MalformedInputException | ConfigException e) {
-      System.err.println("corkproxy: " + e.getMessage());
+      System.err.println("rillyard: " + e.getMessage());
       System.exit(1);
     }
   }
--- a/src/main/java/corkproxy/adapter/Adapter.java
+++ b/src/main/java/rillyard/adapter/Adapter.java
@@ -1,4 +1,4 @@
-package corkproxy.adapter;
+package rillyard.adapter;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -8,13 +8,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import corkproxy.balancer.Actions;
-import corkproxy.balancer.Arrival;
-import corkproxy.balancer.Balancer;
-import corkproxy.balancer.HostEntry;
-import corkproxy.balancer.LoadReport;
-import corkproxy.balancer.News;
-import corkproxy.balancer.Result;
+import rillyard.balancer.Actions;
+import rillyard.balancer.Arrival;
+import rillyard.balancer.Balancer;
+import rillyard.balancer.HostEntry;
+import rillyard.balancer.LoadReport;
+import rillyard.balancer.News;
+import rillyard.balancer.Result;
 
 /** Hosts one {@link Balancer} for each instance named on the wire and speaks the wire for them. */
 public final class Adapter {
--- a/src/main/java/corkproxy/adapter/Line.java
+++ b/src/main/java/rillyard/adapter/Line.java
@@ -1,4 +1,4 @@
-package corkproxy.adapter;
+package rillyard.adapter;
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
--- a/src/main/java/corkproxy/adapter/LineReader.java
+++ b/src/main/java/rillyard/adapter/LineReader.java
@@ -1,4 +1,4 @@
-package corkproxy.adapter;
+package rillyard.adapter;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/main/java/corkproxy/adapter/MalformedInputException.java
+++ b/src/main/java/rillyard/adapter/MalformedInputException.java
@@ -1,4 +1,4 @@
-package corkproxy.adapter;
+package rillyard.adapter;
 
 /** Input that is not of the wire; its message is one plain line. */
 public final class MalformedInputException extends RuntimeException {
--- a/src/main/java/corkproxy/adapter/SettingsReader.java
+++ b/src/main/java/rillyard/adapter/SettingsReader.java
@@ -1,11 +1,11 @@
-package corkproxy.adapter;
+package rillyard.adapter;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.ArrayList;
 import java.util.List;
-import corkproxy.balancer.Settings;
+import rillyard.balancer.Settings;
 
 /** Reads the settings of an instance; what is not known is skipped, what is absent is harmless. */
 public final class SettingsReader {
--- a/src/main/java/corkproxy/balancer/Actions.java
+++ b/src/main/java/rillyard/balancer/Actions.java
@@ -1,4 +1,4 @@
-package corkproxy.balancer;
+package rillyard.balancer;
 
 /** What a {@link Balancer} asks its proxy to do. Calls are made from within the event methods. */
 public interface Actions {
--- a/src/main/java/corkproxy/balancer/Arrival.java
+++ b/src/main/java/rillyard/balancer/Arrival.java
@@ -1,4 +1,4 @@
-package corkproxy.balancer;
+package rillyard.balancer;
 
 /** A client's request; {@code tenant} may be null and {@code estimate} NaN where not told. */
 public record Arrival(
--- a/src/main/java/corkproxy/balancer/HostEntry.java
+++ b/src/main/java/rillyard/balancer/HostEntry.java
@@ -1,4 +1,4 @@
-package corkproxy.balancer;
+package rillyard.balancer;
 
 /** One entry of a host list; {@code onlineSince} 0 means long ago. */
 public record HostEntry(
--- a/src/main/java/corkproxy/balancer/LoadReport.java
+++ b/src/main/java/rillyard/balancer/LoadReport.java
@@ -1,4 +1,4 @@
-package corkproxy.balancer;
+package rillyard.balancer;
 
 /** Figures a host reports of itself; {@code NaN} where a figure is not reported. */
 public record LoadReport(
--- a/src/main/java/corkproxy/balancer/News.java
+++ b/src/main/java/rillyard/balancer/News.java
@@ -1,4 +1,4 @@
-package corkproxy.balancer;
+package rillyard.balancer;
 
 /** The kind of a membership event. */
 public enum News {
--- a/src/main/java/corkproxy/balancer/Result.java
+++ b/src/main/java/rillyard/balancer/Result.java
@@ -1,4 +1,4 @@
-package corkproxy.balancer;
+package rillyard.balancer;
 
 /** How an attempt ended. */
 public enum Result {
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/rillyard/balancer/Tuning.java
@@ -1,4 +1,4 @@
-package corkproxy.balancer;
+package rillyard.balancer;
 
 /** Every constant of the module, with its reason. None is fitted to one deployment. */
 final class Tuning {
--- a/src/main/java/corkproxy/proxy/Attempt.java
+++ b/src/main/java/rillyard/proxy/Attempt.java
@@ -1,7 +1,5 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
-import corkproxy.balancer.LoadReport;
-import corkproxy.balancer.Result;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.HttpContent;
@@ -9,6 +7,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import java.util.Locale;
+import rillyard.balancer.LoadReport;
+import rillyard.balancer.Result;
 
 /** One send of a request to a host; it ends with exactly one outcome. */
 final class Attempt extends UpstreamCall {
--- a/src/main/java/corkproxy/proxy/Body.java
+++ b/src/main/java/rillyard/proxy/Body.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
--- a/src/main/java/corkproxy/proxy/BodyBudget.java
+++ b/src/main/java/rillyard/proxy/BodyBudget.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import java.util.LinkedHashSet;
 import java.util.Set;
--- a/src/main/java/corkproxy/proxy/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/ClientConnection.java
@@ -1,7 +1,5 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
-import corkproxy.balancer.Arrival;
-import corkproxy.balancer.Settings;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -32,6 +30,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import rillyard.balancer.Arrival;
+import rillyard.balancer.Settings;
 
 /** A connection of the application's: reads its requests one by one and writes their answers. */
 final class ClientConnection extends ChannelInboundHandlerAdapter implements Sockets.Idle {
--- a/src/main/java/corkproxy/proxy/Config.java
+++ b/src/main/java/rillyard/proxy/Config.java
@@ -1,11 +1,8 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import corkproxy.adapter.MalformedInputException;
-import corkproxy.adapter.SettingsReader;
-import corkproxy.balancer.Settings;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -15,6 +12,9 @@
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.Map;
+import rillyard.adapter.MalformedInputException;
+import rillyard.adapter.SettingsReader;
+import rillyard.balancer.Settings;
 
 /** What the platform tells one client proxy; times are milliseconds. */
 record Config(
--- a/src/main/java/corkproxy/proxy/ConfigException.java
+++ b/src/main/java/rillyard/proxy/ConfigException.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 /** The configuration is missing or makes no sense; the message is one plain line. */
 public final class ConfigException extends Exception {
--- a/src/main/java/corkproxy/proxy/Discovery.java
+++ b/src/main/java/rillyard/proxy/Discovery.java
@@ -1,8 +1,7 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import corkproxy.balancer.News;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -31,6 +30,7 @@
 import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.List;
+import rillyard.balancer.News;
 
 /**
  * The watch on the list of hosts. It resumes from the last version that was applied, so that a
--- a/src/main/java/corkproxy/proxy/Dispatcher.java
+++ b/src/main/java/rillyard/proxy/Dispatcher.java
@@ -1,12 +1,5 @@
-package corkproxy.proxy;
-
-import corkproxy.balancer.Actions;
-import corkproxy.balancer.Arrival;
-import corkproxy.balancer.Balancer;
-import corkproxy.balancer.HostEntry;
-import corkproxy.balancer.LoadReport;
-import corkproxy.balancer.Result;
-import corkproxy.balancer.Settings;
+package rillyard.proxy;
+
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
@@ -18,6 +11,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import rillyard.balancer.Actions;
+import rillyard.balancer.Arrival;
+import rillyard.balancer.Balancer;
+import rillyard.balancer.HostEntry;
+import rillyard.balancer.LoadReport;
+import rillyard.balancer.Result;
+import rillyard.balancer.Settings;
 
 /**
  * Runs the module on the event loop: hands it one event at a time, in the order in which they
@@ -105,10 +105,10 @@
   void start(Hosts.News known, Runnable follow) {
     this.follow = follow;
     deliver(null, () -> balancer.onStart(now()));
-    membership(corkproxy.balancer.News.CACHED, known);
+    membership(rillyard.balancer.News.CACHED, known);
   }
 
-  void membership(corkproxy.balancer.News kind, Hosts.News news) {
+  void membership(rillyard.balancer.News kind, Hosts.News news) {
     Set<Host> cut = hosts.apply(news);
     List<HostEntry> entries = news.entries();
     deliver(null, () -> balancer.onMembership(now(), kind, entries));
@@ -122,7 +122,7 @@
   }
 
   void followFailed() {
-    deliver(null, () -> balancer.onMembership(now(), corkproxy.balancer.News.FAILED, null));
+    deliver(null, () -> balancer.onMembership(now(), rillyard.balancer.News.FAILED, null));
   }
 
   void arrived(Exchange e, Arrival arrival) {
--- a/src/main/java/corkproxy/proxy/Exchange.java
+++ b/src/main/java/rillyard/proxy/Exchange.java
@@ -1,7 +1,5 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
-import corkproxy.balancer.LoadReport;
-import corkproxy.balancer.Result;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -18,6 +16,8 @@
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
+import rillyard.balancer.LoadReport;
+import rillyard.balancer.Result;
 
 /**
  * One client request, from its last byte on. The only place that gives a final answer, and it
--- a/src/main/java/corkproxy/proxy/Front.java
+++ b/src/main/java/rillyard/proxy/Front.java
@@ -1,6 +1,5 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
-import corkproxy.balancer.Settings;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -12,6 +11,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import rillyard.balancer.Settings;
 
 /** The side that faces the application: listens, and knows all of its connections. */
 final class Front {
--- a/src/main/java/corkproxy/proxy/Headers.java
+++ b/src/main/java/rillyard/proxy/Headers.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaderNames;
--- a/src/main/java/corkproxy/proxy/Host.java
+++ b/src/main/java/rillyard/proxy/Host.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
--- a/src/main/java/corkproxy/proxy/Hosts.java
+++ b/src/main/java/rillyard/proxy/Hosts.java
@@ -1,7 +1,6 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import corkproxy.balancer.HostEntry;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -10,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import rillyard.balancer.HostEntry;
 
 /** The hosts that discovery has named, and the numbers by which the module knows them. */
 final class Hosts {
--- a/src/main/java/corkproxy/proxy/IdleRisk.java
+++ b/src/main/java/rillyard/proxy/IdleRisk.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 /**
  * How often a connection that stood idle for so long turned out to be gone once a request was on it.
--- a/src/main/java/corkproxy/proxy/Log.java
+++ b/src/main/java/rillyard/proxy/Log.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import java.io.PrintStream;
 import java.util.function.Supplier;
@@ -23,14 +23,14 @@
   /** A line that is made only if it is written. */
   void line(Supplier<String> text) {
     if (admits()) {
-      out.println("corkproxy: " + text.get().replace('\n', ' ').replace('\r', ' '));
+      out.println("rillyard: " + text.get().replace('\n', ' ').replace('\r', ' '));
     }
   }
 
   /** A failure of our own code, with its stack. */
   void failure(String what, Throwable t) {
     if (admits()) {
-      out.println("corkproxy: " + what);
+      out.println("rillyard: " + what);
       t.printStackTrace(out);
     }
   }
@@ -40,7 +40,7 @@
     long now = System.nanoTime() / 1_000_000_000L;
     if (now != second) {
       if (dropped > 0) {
-        out.println("corkproxy: " + dropped + " lines left out");
+        out.println("rillyard: " + dropped + " lines left out");
       }
       second = now;
       written = 0;
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/rillyard/proxy/Proxy.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
--- a/src/main/java/corkproxy/proxy/Reload.java
+++ b/src/main/java/rillyard/proxy/Reload.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import java.util.Map;
 import sun.misc.Signal;
--- a/src/main/java/corkproxy/proxy/Reports.java
+++ b/src/main/java/rillyard/proxy/Reports.java
@@ -1,7 +1,7 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
-import corkproxy.balancer.LoadReport;
 import java.util.Arrays;
+import rillyard.balancer.LoadReport;
 
 /** Reads load reports: {@code inflight=7,queue=2,util=0.61}; what is not known is skipped. */
 final class Reports {
--- a/src/main/java/corkproxy/proxy/UpstreamCall.java
+++ b/src/main/java/rillyard/proxy/UpstreamCall.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
--- a/src/main/java/corkproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/rillyard/proxy/UpstreamConnection.java
@@ -1,9 +1,10 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -11,7 +12,6 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
--- a/src/main/java/corkproxy/proxy/Upstreams.java
+++ b/src/main/java/rillyard/proxy/Upstreams.java
@@ -1,11 +1,11 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
--- a/src/main/java/corkproxy/proxy/WarmUp.java
+++ b/src/main/java/rillyard/proxy/WarmUp.java
@@ -1,9 +1,8 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import corkproxy.balancer.Settings;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -35,6 +34,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import rillyard.balancer.Settings;
 
 /**
  * Guards against the first seconds of a proxy that has part of a core: cold code takes ten times
--- a/src/test/java/corkproxy/adapter/AdapterTest.java
+++ b/src/test/java/rillyard/adapter/AdapterTest.java
@@ -1,4 +1,4 @@
-package corkproxy.adapter;
+package rillyard.adapter;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/src/test/java/corkproxy/balancer/BalancerTest.java
+++ b/src/test/java/rillyard/balancer/BalancerTest.java
@@ -1,4 +1,4 @@
-package corkproxy.balancer;
+package rillyard.balancer;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -6,10 +6,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import corkproxy.balancer.HostEntry.Condition;
-import corkproxy.balancer.Settings.Scope;
-import corkproxy.balancer.Settings.Semantics;
 import org.junit.jupiter.api.Test;
+import rillyard.balancer.HostEntry.Condition;
+import rillyard.balancer.Settings.Scope;
+import rillyard.balancer.Settings.Semantics;
 
 class BalancerTest {
   private static final String SAFE = "safe";
--- a/src/test/java/corkproxy/balancer/Bench.java
+++ b/src/test/java/rillyard/balancer/Bench.java
@@ -1,4 +1,4 @@
-package corkproxy.balancer;
+package rillyard.balancer;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/corkproxy/balancer/RulesTest.java
+++ b/src/test/java/rillyard/balancer/RulesTest.java
@@ -1,4 +1,4 @@
-package corkproxy.balancer;
+package rillyard.balancer;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -9,11 +9,11 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import corkproxy.balancer.HostEntry.Condition;
-import corkproxy.balancer.Settings.Scope;
-import corkproxy.balancer.Settings.Semantics;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import rillyard.balancer.HostEntry.Condition;
+import rillyard.balancer.Settings.Scope;
+import rillyard.balancer.Settings.Semantics;
 
 /** Random legal events against a balancer, judged by a checker that shares no code with it. */
 class RulesTest {
--- a/src/test/java/corkproxy/proxy/JarIT.java
+++ b/src/test/java/rillyard/proxy/JarIT.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import static java.nio.file.StandardCopyOption.REPLACE_EXISTING;
 import static org.assertj.core.api.Assertions.assertThat;
@@ -20,9 +20,9 @@
     List<String> line = new ArrayList<>();
     line.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     if (command.equals("proxy")) {
-      line.addAll(List.of("@deploy/proxy.jvm", "-XX:SharedArchiveFile=target/corkproxy.jsa"));
+      line.addAll(List.of("@deploy/proxy.jvm", "-XX:SharedArchiveFile=target/rillyard.jsa"));
     }
-    line.addAll(List.of("-jar", "target/corkproxy.jar", command));
+    line.addAll(List.of("-jar", "target/rillyard.jar", command));
     ProcessBuilder b = new ProcessBuilder(line);
     b.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
     if (config != null) {
@@ -167,17 +167,17 @@
         new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "@deploy/proxy.jvm",
-                "-XX:SharedArchiveFile=target/corkproxy.jsa",
+                "-XX:SharedArchiveFile=target/rillyard.jsa",
                 "-Xlog:class+load",
                 "-jar",
-                "target/corkproxy.jar",
+                "target/rillyard.jar",
                 "rehearse")
             .redirectErrorStream(true)
             .start();
     String log = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     assertThat(p.waitFor()).isZero();
     assertThat(log)
-        .contains("corkproxy.proxy.Dispatcher source: shared objects file (top)")
+        .contains("rillyard.proxy.Dispatcher source: shared objects file (top)")
         .contains("io.netty.handler.codec.http.HttpObjectDecoder source: shared objects file (top)");
   }
 
@@ -213,7 +213,7 @@
   void proxyWithoutConfigurationEndsWithOneLine() throws Exception {
     Process p = start(null, "proxy");
     assertThat(p.waitFor()).isEqualTo(1);
-    assertThat(errors(p)).isEqualTo("corkproxy: BALANCER_CONFIG is not set\n");
+    assertThat(errors(p)).isEqualTo("rillyard: BALANCER_CONFIG is not set\n");
   }
 
   @Test
--- a/src/test/java/corkproxy/proxy/OutcomesTest.java
+++ b/src/test/java/rillyard/proxy/OutcomesTest.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/corkproxy/proxy/Peer.java
+++ b/src/test/java/rillyard/proxy/Peer.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
--- a/src/test/java/corkproxy/proxy/Rig.java
+++ b/src/test/java/rillyard/proxy/Rig.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package rillyard.proxy;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -84,7 +84,7 @@
     c.set("settings", JSON.readTree(SETTINGS));
     c.set("known", JSON.readTree(list(1, true, servers)));
     change.accept(c);
-    return Files.write(Files.createTempFile("corkproxy", ".json"), JSON.writeValueAsBytes(c));
+    return Files.write(Files.createTempFile("rillyard", ".json"), JSON.writeValueAsBytes(c));
   }
 
   static String server(String id, int port) {
