Checked input files, ledgers of what really happened, and timers to some microseconds

Need: the rehearsal rig that is to come (stand-in hosts, a load generator, an auditor) needs files that are checked before they are believed, a common form of what was done, and a clock that tests can move.

Change: rillyard.input reads TOML key by key with jackson-dataformat-toml; every finding names file, line, key, what was found and what is allowed, all in one pass, unknown keys with the nearest known one. The library keeps no places, so TomlLines finds the lines of keys in texts that it has accepted. rillyard.ledger holds the lines of clients and hosts as JSON, written whole by a thread of its own behind a bounded queue, with a last line that says that the ledger was closed. rillyard.timing gives event loops on epoll, whose waits are not rounded to milliseconds as the JDK's selector's are, and the selector elsewhere.

Result: unit tests for each; nothing of the proxy uses any of it.

--- /dev/null
+++ b/src/main/java/rillyard/input/Finding.java
@@ -0,0 +1,15 @@
+package rillyard.input;
+
+/**
+ * One thing that is wrong in a file.
+ *
+ * @param file the file as the operator named it
+ * @param line the line, from 1; 0 where the file as a whole is meant
+ * @param message what was found and what is allowed, on one line
+ */
+public record Finding(String file, int line, String message) {
+  @Override
+  public String toString() {
+    return line > 0 ? file + ":" + line + ": " + message : file + ": " + message;
+  }
+}
--- /dev/null
+++ b/src/main/java/rillyard/ledger/LedgerEnd.java
@@ -0,0 +1,29 @@
+package rillyard.ledger;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+
+/**
+ * The last line of a ledger that was closed in order. One without it was cut off: what is missing
+ * in it proves nothing.
+ *
+ * @param at microseconds of Unix time
+ * @param lines how many lines stand before it
+ */
+public record LedgerEnd(long at, long lines) implements LedgerLine {
+  static final String KIND = "end";
+
+  @Override
+  public void write(JsonGenerator g) throws IOException {
+    g.writeStartObject();
+    g.writeStringField("k", KIND);
+    g.writeNumberField("at", at);
+    g.writeNumberField("lines", lines);
+    g.writeEndObject();
+  }
+
+  static LedgerEnd read(JsonNode n) {
+    return new LedgerEnd(Fields.whole(n, "at"), Fields.whole(n, "lines"));
+  }
+}
--- /dev/null
+++ b/src/main/java/rillyard/ledger/Surplus.java
@@ -0,0 +1,28 @@
+package rillyard.ledger;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+
+/**
+ * Something that came on a client's connection behind the one answer it was owed.
+ *
+ * @param at microseconds of Unix time
+ * @param id id of the request that was answered last on that connection
+ */
+public record Surplus(long at, String id) implements LedgerLine {
+  static final String KIND = "surplus";
+
+  @Override
+  public void write(JsonGenerator g) throws IOException {
+    g.writeStartObject();
+    g.writeStringField("k", KIND);
+    g.writeNumberField("at", at);
+    g.writeStringField("id", id);
+    g.writeEndObject();
+  }
+
+  static Surplus read(JsonNode n) {
+    return new Surplus(Fields.whole(n, "at"), Fields.text(n, "id"));
+  }
+}
--- /dev/null
+++ b/src/main/java/rillyard/ledger/UnixClock.java
@@ -0,0 +1,30 @@
+package rillyard.ledger;
+
+import java.time.Instant;
+
+/**
+ * Microseconds of Unix time that never go back: the wall clock is read once, and the monotonic
+ * clock tells what has passed since. Two processes of one machine agree to well under a millisecond.
+ */
+public final class UnixClock {
+  private static final long ZERO_NANOS;
+  private static final long ZERO_MICROS;
+
+  static {
+    Instant now = Instant.now();
+    ZERO_NANOS = System.nanoTime();
+    ZERO_MICROS = now.getEpochSecond() * 1_000_000 + now.getNano() / 1_000;
+  }
+
+  private UnixClock() {}
+
+  /** Now. */
+  public static long micros() {
+    return micros(System.nanoTime());
+  }
+
+  /** The Unix time of a reading of {@link System#nanoTime}. */
+  public static long micros(long nanoTime) {
+    return ZERO_MICROS + Math.floorDiv(nanoTime - ZERO_NANOS, 1_000L);
+  }
+}
--- /dev/null
+++ b/src/main/java/rillyard/timing/LoopTimers.java
@@ -0,0 +1,26 @@
+package rillyard.timing;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/** Timers of an event loop; to be used on its thread only. */
+public final class LoopTimers implements Timers {
+  private final EventLoop loop;
+
+  /** The timers of this loop. */
+  public LoopTimers(EventLoop loop) {
+    this.loop = loop;
+  }
+
+  @Override
+  public long now() {
+    return System.nanoTime();
+  }
+
+  @Override
+  public Timer at(long at, Runnable what) {
+    Future<?> f = loop.schedule(what, Math.max(0, at - now()), TimeUnit.NANOSECONDS);
+    return () -> f.cancel(false);
+  }
+}
