Stand-in hosts and a discovery on loopback, with faults by a timetable and on demand

Need: what happens under load and faults can only be shown against hosts that take a known time, fail when told to and write down what they ran. Nothing of the kind was in the repository.

Change: rillyard.standin speaks the platform's protocol: hosts with cores and a queue, work drawn from a distribution, connection caps, handshake cost, idle time, cold start, load reports, a memory of keys per cell, zone or all; discovery with list, watch and versions. Faults: pause, hang, errors, reset in the middle of an answer, slow, garbled, kill and restart under the same or a new id, drain, discovery stale or silent; by TOML timetable and by POST /faults. Each receipt goes to the ledger with its start, end, work and result, each word of discovery with the time at which it was written.

Result: the queue and the memory of keys are tested on a virtual clock, the protocol and each fault byte by byte over loopback.

--- /dev/null
+++ b/src/main/java/rillyard/standin/ClassSpec.java
@@ -0,0 +1,52 @@
+package rillyard.standin;
+
+import java.util.Locale;
+
+/**
+ * A class of requests, as the proxy is told of it and as hosts serve it.
+ *
+ * @param name first part of the path
+ * @param semantics whether it may be repeated
+ * @param scope hosts that know each other's keys
+ * @param aimMs an answer within it is worth all
+ * @param deadlineMs how long clients wait in all
+ * @param windowMs how long keys are remembered, from the receipt of the request
+ * @param worth worth of one answer
+ * @param work its work
+ * @param answerBytes size of an answer
+ */
+public record ClassSpec(
+    String name,
+    Semantics semantics,
+    Scope scope,
+    double aimMs,
+    double deadlineMs,
+    double windowMs,
+    double worth,
+    ServiceTime work,
+    int answerBytes) {
+
+  /** What may be repeated. */
+  public enum Semantics {
+    IDEMPOTENT,
+    DEDUPLICATED,
+    AT_MOST_ONCE;
+
+    /** The name in the platform's settings. */
+    String setting() {
+      return name().toLowerCase(Locale.ROOT);
+    }
+  }
+
+  /** The hosts that share the memory of keys. */
+  public enum Scope {
+    ALL,
+    ZONE,
+    CELL;
+
+    /** The name in the platform's settings. */
+    String setting() {
+      return name().toLowerCase(Locale.ROOT);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/rillyard/standin/ControlServer.java
@@ -0,0 +1,92 @@
+package rillyard.standin;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import rillyard.input.InvalidFileException;
+import rillyard.timing.Loops;
+
+/**
+ * Faults on demand: {@code POST /faults} takes {@code [[fault]]} tables as a timetable holds them and
+ * begins them at once, or says what is wrong with them and begins none.
+ */
+final class ControlServer {
+  private static final int MOST = 64 * 1024;
+
+  private final StandIn standIn;
+
+  ControlServer(StandIn standIn) {
+    this.standIn = standIn;
+  }
+
+  InetSocketAddress start(EventLoopGroup loop, InetSocketAddress at) throws Exception {
+    return (InetSocketAddress)
+        new ServerBootstrap()
+            .group(loop)
+            .channel(Loops.listening())
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel ch) {
+                    ch.pipeline()
+                        .addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST), new Caller());
+                  }
+                })
+            .bind(at)
+            .sync()
+            .channel()
+            .localAddress();
+  }
+
+  private final class Caller extends SimpleChannelInboundHandler<FullHttpRequest> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest r) {
+      if (!r.uri().equals("/faults") || !r.method().equals(HttpMethod.POST)) {
+        respond(ctx, HttpResponseStatus.NOT_FOUND, "POST /faults takes [[fault]] tables\n");
+        return;
+      }
+      try {
+        List<Fault> faults =
+            StandInPlanReader.faults("faults", r.content().toString(StandardCharsets.UTF_8));
+        for (Fault f : faults) {
+          if (!f.kind().ofDiscovery() && standIn.address(f.host()) == null) {
+            respond(ctx, HttpResponseStatus.BAD_REQUEST, "no host '" + f.host() + "'\n");
+            return;
+          }
+        }
+        faults.forEach(standIn::begin);
+        respond(ctx, HttpResponseStatus.OK, faults.size() + " begun\n");
+      } catch (InvalidFileException e) {
+        respond(ctx, HttpResponseStatus.BAD_REQUEST, e.getMessage() + "\n");
+      }
+    }
+
+    private void respond(ChannelHandlerContext ctx, HttpResponseStatus status, String text) {
+      byte[] body = text.getBytes(StandardCharsets.UTF_8);
+      DefaultFullHttpResponse answer =
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+      answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+      ctx.writeAndFlush(answer);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/rillyard/standin/HostSpec.java
@@ -0,0 +1,42 @@
+package rillyard.standin;
+
+/**
+ * What a host can do.
+ *
+ * @param id its id; a host that is replaced has a new one
+ * @param zone its zone
+ * @param kind its kind of machine
+ * @param cell the hosts of a cell share the memory of keys
+ * @param cores requests that run at a time
+ * @param speed work (ms) that a core does in one, once warm
+ * @param queue requests that wait at most; further ones are turned away
+ * @param connections connections at most; further ones are turned away
+ * @param handshakeMs how long the first request on a new connection waits
+ * @param handshakeWorkMs work that a new connection costs a core
+ * @param idleMs a connection that has stood idle for so long is closed
+ * @param coldMs how long a host that has started takes to become warm
+ * @param startShare share of its speed with which it starts, above 0
+ * @param startsCold whether it is cold when the stand-in starts
+ */
+public record HostSpec(
+    String id,
+    String zone,
+    String kind,
+    long cell,
+    int cores,
+    double speed,
+    int queue,
+    int connections,
+    double handshakeMs,
+    double handshakeWorkMs,
+    double idleMs,
+    double coldMs,
+    double startShare,
+    boolean startsCold) {
+
+  /** The same machine under another id. */
+  HostSpec named(String other) {
+    return new HostSpec(other, zone, kind, cell, cores, speed, queue, connections, handshakeMs,
+        handshakeWorkMs, idleMs, coldMs, startShare, startsCold);
+  }
+}
--- /dev/null
+++ b/src/main/java/rillyard/standin/Received.java
@@ -0,0 +1,16 @@
+package rillyard.standin;
+
+/**
+ * A request that has come whole.
+ *
+ * @param id what {@code X-Request-ID} said
+ * @param key what {@code Idempotency-Key} said, or null
+ * @param spec its class
+ * @param path path and query as they came
+ * @param length bytes of its body
+ * @param crc CRC-32 of its body
+ * @param firstByte when its first byte came, nanoseconds of the host's clock
+ * @param until when its client stops waiting, on the same clock
+ */
+record Received(
+    String id, String key, ClassSpec spec, String path, long length, long crc, long firstByte, long until) {}
--- /dev/null
+++ b/src/test/java/rillyard/standin/CatalogTest.java
@@ -0,0 +1,45 @@
+package rillyard.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class CatalogTest {
+  private static Catalog.Entry entry(String id, String state) {
+    HostSpec spec = StandInPlanReader.standard(1).hosts().get(0).named(id);
+    return new Catalog.Entry(spec, "127.0.0.1:1", state, 0);
+  }
+
+  private static JsonNode json(String line) throws Exception {
+    return new ObjectMapper().readTree(line);
+  }
+
+  @Test
+  void tellsTheWholeListOrWhatChangedSince() throws Exception {
+    Catalog c = new Catalog(List.of(entry("a", "up"), entry("b", "up")));
+    assertThat(json(c.since(0)).path("full").asBoolean()).isTrue();
+    assertThat(json(c.since(0)).path("servers")).hasSize(2);
+    c.change(entry("a", "draining"));
+    c.change(entry("a", "removed"));
+    JsonNode since = json(c.since(1));
+    assertThat(since.path("version").asLong()).isEqualTo(3);
+    assertThat(since.path("full").asBoolean()).isFalse();
+    assertThat(since.path("servers")).hasSize(2);
+    assertThat(json(c.all()).path("servers")).hasSize(1);
+    assertThat(json(c.since(3)).path("servers")).isEmpty();
+    assertThat(json(c.since(99)).path("full").asBoolean()).isTrue();
+  }
+
+  @Test
+  void whoAsksForMoreThanIsKeptGetsTheWholeList() throws Exception {
+    Catalog c = new Catalog(List.of(entry("a", "up")));
+    for (int i = 0; i < 1_500; i++) {
+      c.change(entry("a", i % 2 == 0 ? "draining" : "up"));
+    }
+    assertThat(json(c.since(2)).path("full").asBoolean()).isTrue();
+    assertThat(json(c.since(1_000)).path("full").asBoolean()).isFalse();
+  }
+}
