A load generator whose schedule the target can't slow down, and clients as the app has them

Need: operators want to rehearse the morning surge; a generator that waits for answers leaves out just the time in which the target stands still.

Change: rillyard.load sends open-loop arrivals in shapes (steady, Poisson, ramp, surge, wave, step, in sequence; one source of chance through the inverse of the cumulative rate) or from a trace (CSV, JSON lines, HAProxy's httplog). Clients of unlike rates retry up to three times, send six times at most, give a try up at a share of the deadline, announced or not, and heed Retry-After by a share. Latency counts from the schedule, service time stands beside it. A run in which the generator was late, or had to leave requests out at its bound, is marked invalid. Table, JSON, .hgrm files and one HTML page with plots.

--- /dev/null
+++ b/src/main/java/rillyard/load/Arrival.java
@@ -0,0 +1,12 @@
+package rillyard.load;
+
+/**
+ * One request that is to be sent.
+ *
+ * @param at nanoseconds from the start
+ * @param type its class
+ * @param tenant name of its tenant, or null
+ * @param client number of its client, from 0
+ * @param routeKey what it is about, or null
+ */
+public record Arrival(long at, LoadClass type, String tenant, int client, String routeKey) {}
--- /dev/null
+++ b/src/main/java/rillyard/load/ReportFiles.java
@@ -0,0 +1,19 @@
+package rillyard.load;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** A report as files: {@code report.json} and {@code report.html}. */
+public final class ReportFiles {
+  private ReportFiles() {}
+
+  /** Writes both into a folder that is there. */
+  public static void write(Path folder, Report r, String title) throws IOException {
+    Files.writeString(
+        folder.resolve("report.json"),
+        new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(r) + "\n");
+    Files.writeString(folder.resolve("report.html"), ReportHtml.of(r, title));
+  }
+}
