Command line on picocli: stand-in, load, audit and demo, with help and exit codes

Need: the jar knew three words and no help, and nobody could see the proxy at work without writing a configuration and a discovery first.

The generator and the stand-ins send a ramp to themselves first, since cold code costs the first second.

The jar test shows that a proxy loads no class of the new packages and libraries.

--- a/src/main/java/rillyard/Main.java
+++ b/src/main/java/rillyard/Main.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import rillyard.adapter.Adapter;
 import rillyard.adapter.MalformedInputException;
+import rillyard.cli.Cli;
 import rillyard.proxy.ConfigException;
 import rillyard.proxy.Proxy;
 import rillyard.proxy.Rehearsal;
@@ -14,7 +15,8 @@
   /**
    * Runs {@code proxy}, a client proxy on sockets, or {@code adapter}, the same decisions on the
    * simulator's wire on standard input and output. The build runs {@code rehearse}, for the JVM to
-   * record what a proxy loads.
+   * record what a proxy loads. These three start without the parser of the command line; all else
+   * goes through it.
    */
   public static void main(String[] args) throws IOException {
     String command = args.length == 1 ? args[0] : "";
@@ -23,10 +25,7 @@
         case "proxy" -> Proxy.run(System.getenv());
         case "rehearse" -> Rehearsal.run();
         case "adapter" -> new Adapter(System.in, System.out, System.err).run();
-        default -> {
-          System.err.println("usage: java -jar rillyard.jar proxy|adapter|rehearse");
-          System.exit(2);
-        }
+        default -> System.exit(Cli.run(args));
       }
     } catch (MalformedInputException | ConfigException e) {
       System.err.println("rillyard: " + e.getMessage());
--- /dev/null
+++ b/src/main/java/rillyard/cli/DemoCommand.java
@@ -0,0 +1,31 @@
+package rillyard.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import rillyard.audit.Audit;
+import rillyard.demo.Demo;
+import rillyard.load.ReportTable;
+
+@Command(
+    name = "demo",
+    description = {
+      "Discovery, eight hosts, one proxy and a surge of 20 s, in which one host hangs and one drains.",
+      "Ends with 0 only if no rule was broken."
+    },
+    mixinStandardHelpOptions = true,
+    versionProvider = Version.class)
+final class DemoCommand implements Callable<Integer> {
+  @Option(names = "--keep", description = "A folder that gets the ledgers and the report.")
+  private Path keep;
+
+  @Override
+  public Integer call() throws Exception {
+    Demo.Result r = new Demo(System.out).run(keep);
+    System.out.print(ReportTable.of(r.report()));
+    AuditCommand.print(r.verdict(), 5, System.out);
+    Audit.Verdict v = r.verdict();
+    return v.clean() ? Cli.DONE : Cli.FAILED;
+  }
+}
--- /dev/null
+++ b/src/main/java/rillyard/cli/ProxyCommands.java
@@ -0,0 +1,61 @@
+package rillyard.cli;
+
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import rillyard.adapter.Adapter;
+import rillyard.adapter.MalformedInputException;
+import rillyard.proxy.Proxy;
+import rillyard.proxy.Rehearsal;
+
+/** What the platform starts, for their help; given alone they are run before the parser is loaded. */
+final class ProxyCommands {
+  private ProxyCommands() {}
+
+  @Command(
+      name = "proxy",
+      description = {
+        "Runs one client proxy until SIGTERM.",
+        "BALANCER_CONFIG names its configuration (JSON); BALANCER_NAME, BALANCER_LISTEN and"
+            + " BALANCER_DISCOVERY win over it. SIGHUP reads the file again."
+      },
+      mixinStandardHelpOptions = true,
+      versionProvider = Version.class)
+  static final class ProxyCommand implements Callable<Integer> {
+    @Override
+    public Integer call() throws Exception {
+      Proxy.run(System.getenv());
+      return Cli.DONE;
+    }
+  }
+
+  @Command(
+      name = "adapter",
+      description = "Runs the decisions on the simulator's wire, on standard input and output.",
+      mixinStandardHelpOptions = true,
+      versionProvider = Version.class)
+  static final class AdapterCommand implements Callable<Integer> {
+    @Override
+    public Integer call() throws Exception {
+      try {
+        new Adapter(System.in, System.out, System.err).run();
+        return Cli.DONE;
+      } catch (MalformedInputException e) {
+        System.err.println("rillyard: " + e.getMessage());
+        return Cli.FAILED;
+      }
+    }
+  }
+
+  @Command(
+      name = "rehearse",
+      description = "Starts and warms up with nobody there; the build records what is loaded.",
+      mixinStandardHelpOptions = true,
+      versionProvider = Version.class)
+  static final class RehearseCommand implements Callable<Integer> {
+    @Override
+    public Integer call() throws Exception {
+      Rehearsal.run();
+      return Cli.DONE;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/rillyard/demo/WarmUp.java
@@ -0,0 +1,67 @@
+package rillyard.demo;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import rillyard.ledger.Ledger;
+import rillyard.load.LoadPlan;
+import rillyard.load.LoadPlanReader;
+import rillyard.load.LoadRun;
+import rillyard.standin.StandIn;
+import rillyard.standin.StandInPlan;
+import rillyard.standin.StandInPlanReader;
+
+/**
+ * Guards against the first second of a generator or a stand-in: cold code takes some ten times as
+ * long, a schedule can't be kept, and what is measured is the JVM. Each sends requests through the
+ * very same classes to stand-ins in its own process first; nothing of that is counted.
+ */
+public final class WarmUp {
+  private static final String HOSTS =
+      """
+      [hosts]
+      count = 2
+      cores = 1000
+      [[class]]
+      name = "visit-list"
+      semantics = "idempotent"
+      work = { dist = "constant", mean_ms = 1 }
+      [[class]]
+      name = "visit-log"
+      semantics = "deduplicated"
+      work = { dist = "constant", mean_ms = 1 }
+      [[class]]
+      name = "visit-claim"
+      work = { dist = "constant", mean_ms = 1 }
+      """;
+
+  private static final String PLAN =
+      """
+      [clients]
+      count = 40
+      [[shape]]
+      kind = "ramp"
+      for_s = 2.5
+      from = 200
+      to = 4000
+      """;
+
+  private WarmUp() {}
+
+  /**
+   * Runs for two and a half seconds.
+   *
+   * @throws Exception if loopback can't be used
+   */
+  public static void run() throws Exception {
+    StandInPlan hosts = StandInPlanReader.parse("warm-up", HOSTS, 0);
+    LoadPlan load = LoadPlanReader.parse("warm-up", PLAN, Path.of("."));
+    InetSocketAddress any = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0);
+    try (Ledger ledger = Ledger.none();
+        StandIn standIn = new StandIn(hosts, any, 1, ledger, System.err)) {
+      standIn.start();
+      new LoadRun(load, List.of(standIn.address("s-0"), standIn.address("s-1")), ledger, null).run();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/rillyard/cli/CliTest.java
@@ -0,0 +1,83 @@
+package rillyard.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CliTest {
+  @TempDir Path folder;
+  private final StringWriter out = new StringWriter();
+  private final StringWriter err = new StringWriter();
+
+  private int run(String... args) {
+    return Cli.run(new PrintWriter(out, true), new PrintWriter(err, true), args);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"proxy", "adapter", "rehearse", "stand-in", "load", "audit", "demo"})
+  void everyCommandHasHelpAndAVersion(String command) {
+    assertThat(run(command, "--help")).isZero();
+    assertThat(out.toString()).contains("Usage: rillyard " + command);
+    assertThat(run(command, "--version")).isZero();
+    assertThat(out.toString()).contains("rillyard ");
+  }
+
+  @Test
+  void wrongUsageEndsWithTwo() {
+    assertThat(run()).isEqualTo(2);
+    assertThat(run("laod")).isEqualTo(2);
+    assertThat(run("load")).isEqualTo(2);
+    assertThat(err.toString()).contains("Missing required options: '--target").contains("--plan");
+    assertThat(run("load", "--target", "localhost:1", "--plan", "p")).isEqualTo(2);
+    assertThat(err.toString()).contains("'localhost:1', expected IP:port");
+    assertThat(run("stand-in", "--hosts", "many")).isEqualTo(2);
+  }
+
+  @Test
+  void aPlanWithAnErrorEndsWithTwoAndNothingIsSent() throws Exception {
+    Path plan = Files.writeString(folder.resolve("plan.toml"), "seed = 1\n[[shape]]\nkind = 'stedy'\nrate = 5\n");
+    try (ServerSocket target = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+      assertThat(
+              run("load", "--target", "127.0.0.1:" + target.getLocalPort(), "--plan", plan.toString(),
+                  "--ledger", folder.resolve("l").toString()))
+          .isEqualTo(2);
+      assertThat(err.toString())
+          .isEqualTo(plan + ":3: shape[0].kind: found 'stedy', expected one of steady, poisson, ramp,"
+              + " surge, wave, step; did you mean 'steady'?" + System.lineSeparator());
+      target.setSoTimeout(1);
+      assertThat(org.assertj.core.api.Assertions.catchThrowable(target::accept))
+          .isInstanceOf(SocketTimeoutException.class);
+      assertThat(folder.resolve("l")).doesNotExist();
+    }
+  }
+
+  @Test
+  void aTimetableWithAnErrorEndsWithTwo() throws Exception {
+    Path t = Files.writeString(folder.resolve("t.toml"), "[[fault]]\nkind = 'hang'\n");
+    assertThat(run("stand-in", "--timetable", t.toString(), "--ready-file", folder.resolve("r").toString()))
+        .isEqualTo(2);
+    assertThat(err.toString()).contains(t + ":1: fault[0].host: is missing, expected a text");
+    assertThat(folder.resolve("r")).doesNotExist();
+  }
+
+  @Test
+  void anAuditOfWhatIsNoLedgerEndsWithTwo() throws Exception {
+    Path s = Files.writeString(folder.resolve("s.json"), "{\"classes\":[{\"name\":\"a\"}]}");
+    Path l = Files.writeString(folder.resolve("l.jsonl"), "no ledger\n");
+    assertThat(run("audit", "--clients", l.toString(), "--hosts", l.toString(), "--settings", s.toString()))
+        .isEqualTo(2);
+    assertThat(err.toString()).startsWith(l + ":1: expected a JSON object");
+    assertThat(run("audit", "--clients", l.toString(), "--hosts", l.toString(), "--settings", l.toString()))
+        .isEqualTo(2);
+  }
+}
--- /dev/null
+++ b/src/test/java/rillyard/demo/DemoTest.java
@@ -0,0 +1,67 @@
+package rillyard.demo;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rillyard.audit.Breach;
+
+/** The whole in one: stand-ins, a proxy in a process of its own, load, audit; shorter than the demo. */
+class DemoTest {
+  private static final String HOSTS =
+      """
+      [hosts]
+      count = 6
+      cell_size = 3
+      [[fault]]
+      kind = "hang"
+      at_s = 0.5
+      for_s = 1.5
+      host = "s-2"
+      [[fault]]
+      kind = "drain"
+      at_s = 1
+      for_s = 1
+      host = "s-4"
+      restart_s = 0.5
+      new_id = true
+      """;
+
+  private static final String PLAN =
+      """
+      lateness_ms = 5000
+      [clients]
+      count = 30
+      impatient = 0.01
+      [[shape]]
+      kind = "surge"
+      for_s = 5
+      base = 60
+      peak = 250
+      """;
+
+  @TempDir Path folder;
+
+  @Test
+  void aProxyUnderFaultsKeepsTheRulesAndThePartsAgree() throws Exception {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    Demo.Result r =
+        new Demo(new PrintStream(out, true, StandardCharsets.UTF_8), HOSTS, PLAN).run(folder);
+    List<Breach> breaches = r.verdict().breaches();
+    assertThat(breaches).isEmpty();
+    assertThat(r.verdict().doubts()).isEmpty();
+    assertThat(r.verdict().tries()).isGreaterThan(300);
+    assertThat(r.report().total().inAim()).isGreaterThan(200);
+    assertThat(r.report().marks()).extracting(m -> m.host() + " " + m.what())
+        .contains("s-2 hang", "s-2 hang ends", "s-4 draining", "s-4 stopped", "s-4+1 started");
+    assertThat(folder.resolve("report.html")).isNotEmptyFile();
+    assertThat(Files.readString(folder.resolve("proxy.log"))).contains("drained");
+    assertThat(out.toString(StandardCharsets.UTF_8)).contains("the surge begins");
+  }
+}
--- a/src/test/java/rillyard/proxy/JarIT.java
+++ b/src/test/java/rillyard/proxy/JarIT.java
@@ -178,7 +178,11 @@
     assertThat(p.waitFor()).isZero();
     assertThat(log)
         .contains("rillyard.proxy.Dispatcher source: shared objects file (top)")
-        .contains("io.netty.handler.codec.http.HttpObjectDecoder source: shared objects file (top)");
+        .contains("io.netty.handler.codec.http.HttpObjectDecoder source: shared objects file (top)")
+        .doesNotContain(
+            "picocli", "HdrHistogram", "dataformat.toml", "channel.epoll", "rillyard.cli",
+            "rillyard.load", "rillyard.standin", "rillyard.audit", "rillyard.demo", "rillyard.ledger",
+            "rillyard.timing", "rillyard.input");
   }
 
   @Test
