--- a/src/main/java/rillyard/cli/Cli.java
+++ b/src/main/java/rillyard/cli/Cli.java
@@ -21,6 +21,7 @@
       LoadCommand.class,
       AuditCommand.class,
       DemoCommand.class,
+      MeasureCommand.class,
       HelpCommand.class
     })
 public final class Cli {
--- /dev/null
+++ b/src/main/java/rillyard/cli/MeasureCommand.java
@@ -0,0 +1,72 @@
+package rillyard.cli;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import rillyard.measure.Baseline;
+
+@Command(
+    name = "measure",
+    description = "Repeats the measurements of docs/PERFORMANCE.md on this machine.",
+    mixinStandardHelpOptions = true,
+    versionProvider = Version.class,
+    synopsisSubcommandLabel = "WHAT",
+    subcommands = {MeasureCommand.Proxy.class, MeasureCommand.Generator.class})
+final class MeasureCommand implements Callable<Integer> {
+  @Override
+  public Integer call() {
+    System.err.println("rillyard: say what to measure: proxy or generator");
+    return Cli.USAGE;
+  }
+
+  @Command(
+      name = "proxy",
+      description = "What the proxy adds, in pairs in turn: latency, and CPU a request beside the generator's.",
+      mixinStandardHelpOptions = true,
+      versionProvider = Version.class)
+  static final class Proxy implements Callable<Integer> {
+    @Option(names = "--rates", defaultValue = "500,1000,2000", description = "Requests a second (${DEFAULT-VALUE}).")
+    private String rates;
+
+    @Option(names = "--pairs", defaultValue = "5", description = "Pairs of runs (${DEFAULT-VALUE}).")
+    private int pairs;
+
+    @Option(names = "--seconds", defaultValue = "5", description = "Length of a run (${DEFAULT-VALUE}).")
+    private int seconds;
+
+    @Override
+    public Integer call() throws Exception {
+      Path folder = Files.createTempDirectory("rillyard-measure");
+      new Baseline(folder, System.out).addedByProxy(Baseline.rates(rates), pairs, seconds);
+      return Cli.DONE;
+    }
+  }
+
+  @Command(
+      name = "generator",
+      description = "The highest rate that one core of the generator holds on schedule.",
+      mixinStandardHelpOptions = true,
+      versionProvider = Version.class)
+  static final class Generator implements Callable<Integer> {
+    @Option(names = "--from", defaultValue = "5000", description = "First rate (${DEFAULT-VALUE}).")
+    private int from;
+
+    @Option(names = "--step", defaultValue = "5000", description = "Step (${DEFAULT-VALUE}).")
+    private int step;
+
+    @Option(names = "--most", defaultValue = "100000", description = "Last rate (${DEFAULT-VALUE}).")
+    private int most;
+
+    @Option(names = "--seconds", defaultValue = "5", description = "Length of a run (${DEFAULT-VALUE}).")
+    private int seconds;
+
+    @Override
+    public Integer call() throws Exception {
+      Path folder = Files.createTempDirectory("rillyard-measure");
+      new Baseline(folder, System.out).highestRate(from, step, most, seconds);
+      return Cli.DONE;
+    }
+  }
+}
--- a/src/main/java/rillyard/ledger/Ledger.java
+++ b/src/main/java/rillyard/ledger/Ledger.java
@@ -47,12 +47,14 @@
     return l;
   }
 
-  /** A ledger that keeps nothing. */
+  /** A ledger that keeps nothing, and costs nothing. */
   public static Ledger none() {
     try {
-      return new Ledger(OutputStream.nullOutputStream());
+      Ledger l = new Ledger(OutputStream.nullOutputStream());
+      l.close();
+      return l;
     } catch (IOException e) {
-      throw new UncheckedIOException(e);
+      throw new UncheckedIOException(e); // never: there is nothing that could fail
     }
   }
 
--- a/src/main/java/rillyard/load/LoadRun.java
+++ b/src/main/java/rillyard/load/LoadRun.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
@@ -31,6 +32,7 @@
   private final Generator generator;
   private volatile boolean interrupted;
   private volatile long startedMicros;
+  private double cpuSeconds;
   private long shownOver;
   private long shownOffered;
 
@@ -65,6 +67,7 @@
    * @throws InterruptedException if the waiting thread is
    */
   public void run() throws InterruptedException {
+    double before = cpu();
     loop.execute(
         () -> {
           startedMicros = UnixClock.micros();
@@ -77,6 +80,7 @@
     try {
       done.await();
     } finally {
+      cpuSeconds = cpu() - before;
       if (shown != null) {
         shown.cancel(false);
       }
@@ -85,6 +89,10 @@
     }
   }
 
+  private static double cpu() {
+    return ProcessHandle.current().info().totalCpuDuration().orElse(Duration.ZERO).toNanos() / 1e9;
+  }
+
   /** Ends it early: nothing more is sent, and what is under way is left. Harmless at any time. */
   public void interrupt() {
     if (done.getCount() > 0) {
@@ -121,7 +129,7 @@
 
   /** What came of it; to be asked once {@link #run} has returned. */
   public Report report(List<Report.Mark> marks) {
-    return Report.of(plan, tally, interrupted, transport.opened(), marks);
+    return Report.of(plan, tally, interrupted, cpuSeconds, transport.opened(), marks);
   }
 
   /** Writes the histograms; to be asked once {@link #run} has returned. */
--- a/src/main/java/rillyard/load/Report.java
+++ b/src/main/java/rillyard/load/Report.java
@@ -13,6 +13,7 @@
  * @param invalidBecause why not, or null
  * @param interrupted whether it was ended before its schedule was
  * @param seconds from the first arrival to the last end
+ * @param cpuSeconds CPU time of the generator's process meanwhile
  * @param lateness how late the generator's own sends were
  * @param surplus answers behind the one that was owed
  * @param connections connections that were opened
@@ -29,6 +30,7 @@
     boolean interrupted,
     long seed,
     double seconds,
+    double cpuSeconds,
     Quantiles lateness,
     long surplus,
     long connections,
@@ -96,7 +98,12 @@
   public record Mark(double at, String host, String what) {}
 
   static Report of(
-      LoadPlan plan, Tally tally, boolean interrupted, long connections, List<Mark> marks) {
+      LoadPlan plan,
+      Tally tally,
+      boolean interrupted,
+      double cpuSeconds,
+      long connections,
+      List<Mark> marks) {
     String because = null;
     Quantiles lateness = Quantiles.of(tally.lateness());
     Tally.Row all = tally.total();
@@ -120,6 +127,7 @@
         interrupted,
         plan.seed(),
         seconds,
+        cpuSeconds,
         lateness,
         tally.surplusAnswers(),
         connections,
--- a/src/test/java/rillyard/cli/CliTest.java
+++ b/src/test/java/rillyard/cli/CliTest.java
@@ -24,7 +24,7 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"proxy", "adapter", "rehearse", "stand-in", "load", "audit", "demo"})
+  @ValueSource(strings = {"proxy", "adapter", "rehearse", "stand-in", "load", "audit", "demo", "measure"})
   void everyCommandHasHelpAndAVersion(String command) {
     assertThat(run(command, "--help")).isZero();
     assertThat(out.toString()).contains("Usage: rillyard " + command);
--- a/src/test/java/rillyard/load/GeneratorTest.java
+++ b/src/test/java/rillyard/load/GeneratorTest.java
@@ -55,7 +55,7 @@
     Tally tally = play(plan, t);
     assertThat(t.tries).hasSize(50);
     assertThat(tally.total().notSent).isEqualTo(150);
-    Report r = Report.of(LoadPlanReader.parse("p", plan, Path.of(".")), tally, false, 0, List.of());
+    Report r = Report.of(LoadPlanReader.parse("p", plan, Path.of(".")), tally, false, 0, 0, List.of());
     assertThat(r.valid()).isFalse();
     assertThat(r.invalidBecause()).contains("150 requests were not sent");
     assertThat(r.total().offered())
@@ -75,7 +75,7 @@
             });
     String plan = CLIENTS + "[[shape]]\nkind = 'steady'\nfor_s = 1\nrate = 500\n";
     Tally tally = play(plan, t);
-    Report r = Report.of(LoadPlanReader.parse("p", plan, Path.of(".")), tally, false, 0, List.of());
+    Report r = Report.of(LoadPlanReader.parse("p", plan, Path.of(".")), tally, false, 0, 0, List.of());
     assertThat(r.valid()).isFalse();
     assertThat(r.invalidBecause()).contains("could not keep its schedule");
     assertThat(r.lateness().max()).isBetween(450.0, 550.0);
