--- a/src/test/java/rillyard/load/GeneratorTest.java
+++ b/src/test/java/rillyard/load/GeneratorTest.java
@@ -4,7 +4,9 @@
 import static org.assertj.core.api.Assertions.within;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import rillyard.ledger.Ledger;
 import rillyard.timing.VirtualTimers;
@@ -48,6 +50,27 @@
     }
   }
 
+  @Test
+  void quantilesAreThoseOfTheInjectedDistribution() throws Exception {
+    SplittableRandom random = new SplittableRandom(8);
+    List<Double> drawn = new ArrayList<>();
+    FakeTransport t =
+        new FakeTransport(
+            timers,
+            x -> {
+              double ms = 20 * Math.exp(0.7 * random.nextGaussian());
+              drawn.add(ms);
+              return FakeTransport.Fate.served(ms);
+            });
+    Tally tally = play(CLIENTS + "[[shape]]\nkind = 'poisson'\nfor_s = 60\nrate = 1000\n", t);
+    drawn.sort(null);
+    for (double p : new double[] {50, 90, 99, 99.9}) {
+      double injected = drawn.get((int) Math.ceil(p / 100 * drawn.size()) - 1);
+      double seen = tally.total().latency.getValueAtPercentile(p) / 1_000.0;
+      assertThat(seen).isCloseTo(injected, within(0.002 * injected)); // three digits
+    }
+  }
+
   @Test
   void pastItsBoundNothingIsSentAndTheRunIsInvalid() throws Exception {
     FakeTransport t = new FakeTransport(timers, x -> FakeTransport.Fate.silence());
--- a/src/test/java/rillyard/standin/StandInTest.java
+++ b/src/test/java/rillyard/standin/StandInTest.java
@@ -309,6 +309,94 @@
     assertThat(ends).isBetween(told, told + 2);
   }
 
+  @Test
+  void aHostThatIsKilledMayComeBackUnderTheSameIdColdAndWithAFreshStart() throws Exception {
+    long before = System.currentTimeMillis();
+    try (RawClient watch = new RawClient(standIn.discovery())) {
+      watch.write("GET /catalog/members?follow=1&since=1 HTTP/1.1\r\nHost: h\r\n\r\n");
+      faulty("kill", 1, "restart_s = 0.1");
+      assertThat(told(watch, "s-1")).isEqualTo("removed");
+      assertThat(told(watch, "s-1")).isEqualTo("up");
+    }
+    try (RawClient c = new RawClient(standIn.discovery())) {
+      c.write("GET /catalog/members HTTP/1.1\r\nHost: h\r\n\r\n");
+      JsonNode list = new ObjectMapper().readTree(c.answer().split("\r\n\r\n", 2)[1]);
+      for (JsonNode e : list.path("servers")) {
+        long started = e.path("started_ms").asLong();
+        assertThat(started).isGreaterThanOrEqualTo(e.path("id").asText().equals("s-1") ? before : 0);
+      }
+      assertThat(list.path("servers")).hasSize(2);
+    }
+    assertThat(ledger(HostNews.class))
+        .filteredOn(n -> n.host().equals("s-1") && n.what() == HostNews.What.STARTED)
+        .extracting(HostNews::cold).containsExactly(false, true);
+  }
+
+  @Test
+  void aSpoiltAnswerRanAndASlowHostTakesLonger() throws Exception {
+    faulty("garble", 0, "");
+    try (RawClient c = host(0)) {
+      c.socket.setSoTimeout(200);
+      c.write(RawClient.request("list", "i0", null, null));
+      String answer = null;
+      try {
+        answer = c.answer();
+      } catch (IOException | RuntimeException e) {
+        // half an answer, or one that a reader of answers can't read
+      }
+      if (answer != null) {
+        assertThat(answer).doesNotContain("id=i0 host=s-0 len=0 crc=0");
+      }
+    }
+    faulty("slow", 1, "size = 400");
+    try (RawClient c = host(1)) {
+      c.write(RawClient.request("list", "i1", null, null));
+      assertThat(c.answer()).contains("id=i1");
+    }
+    for (HostRun r : ledger(HostRun.class)) {
+      assertThat(r.result()).isEqualTo(r.id().equals("i0") ? RunResult.GARBLED : RunResult.DONE);
+      if (r.id().equals("i1")) {
+        assertThat(r.ended() - r.started()).isGreaterThanOrEqualTo(399_000);
+      }
+    }
+  }
+
+  @Test
+  void aNewConnectionWaitsForItsHandshakeAndCostsTheHostWork() throws Exception {
+    stop();
+    ledger = Ledger.open(file(), new LedgerHead("hosts", 1, 1));
+    standIn =
+        new StandIn(
+            StandInPlanReader.parse(
+                "t",
+                HOSTS.replace("[hosts]", "[hosts]\nhandshake_ms = 150\nhandshake_work_ms = 60"),
+                0),
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+            1,
+            ledger,
+            System.err);
+    standIn.start();
+    try (RawClient c = host(0)) {
+      for (int i = 0; i < 2; i++) {
+        c.write(RawClient.request("list", "j" + i, null, null));
+        assertThat(c.answer()).contains("id=j" + i);
+      }
+    }
+    List<HostRun> runs = ledger(HostRun.class);
+    assertThat(runs.get(0).started() - runs.get(0).received()).isGreaterThan(100_000);
+    assertThat(runs).extracting(HostRun::result).containsOnly(RunResult.DONE);
+  }
+
+  @Test
+  void aSilentDiscoverySaysNothingAtAll() throws Exception {
+    assertThat(fault("[[fault]]\nkind = \"discovery-silent\"\n")).contains("1 begun");
+    try (RawClient c = new RawClient(standIn.discovery())) {
+      c.socket.setSoTimeout(100);
+      c.write("GET /catalog/members?follow=1&since=0 HTTP/1.1\r\nHost: h\r\n\r\n");
+      assertThatThrownBy(c::line).isInstanceOf(java.net.SocketTimeoutException.class);
+    }
+  }
+
   @Test
   void aFaultThatIsNoneIsRefusedWithItsLine() throws Exception {
     assertThat(fault("[[fault]]\nkind = \"hnag\"\nhost = \"s-0\"\n")).startsWith("HTTP/1.1 400")
