--- a/src/main/java/rillyard/ledger/Ledger.java
+++ b/src/main/java/rillyard/ledger/Ledger.java
@@ -106,13 +106,11 @@
   private void drain() {
     try (out) {
       byte[] b;
-      boolean first = true;
       while ((b = blocks.take()) != END) {
         if (failure != null) {
           continue; // the queue is emptied, so that nobody waits for a disk that is full
         }
         try {
-          // The separator stands before each line but the first; a file ends with one.
           out.write(b, 0, b.length);
           out.flush();
         } catch (IOException e) {
--- a/src/main/java/rillyard/load/Call.java
+++ b/src/main/java/rillyard/load/Call.java
@@ -24,7 +24,7 @@
     /** A new id, or key. */
     String name(int digits);
 
-    /** A try has ended. {@code scheduled} is when it was to be sent, on the clock of the timers. */
+    /** A try has ended. */
     void tried(Call call, ClientTry line);
 
     /** The request is over with this outcome. */
@@ -68,10 +68,6 @@
     return firstSent;
   }
 
-  int tries() {
-    return tries;
-  }
-
   /** Sends the first try. */
   void begin() {
     firstSent = host.timers().now();
--- a/src/main/java/rillyard/load/Tally.java
+++ b/src/main/java/rillyard/load/Tally.java
@@ -60,7 +60,6 @@
     long late;
     long refused;
     long failed;
-    double expected;
   }
 
   private final Map<String, Row> rows = new TreeMap<>();
--- a/src/main/java/rillyard/standin/HostWork.java
+++ b/src/main/java/rillyard/standin/HostWork.java
@@ -114,10 +114,10 @@
     return queue.remove(j);
   }
 
-  private boolean begin(Job j) {
+  private void begin(Job j) {
     j.queued = false;
     if (!j.starts()) {
-      return false;
+      return;
     }
     count();
     j.running = true;
@@ -125,7 +125,6 @@
     j.left = j.work;
     running.add(j);
     run(j);
-    return true;
   }
 
   private void run(Job j) {
--- a/src/main/java/rillyard/timing/Loops.java
+++ b/src/main/java/rillyard/timing/Loops.java
@@ -47,9 +47,4 @@
   public static Class<? extends SocketChannel> connecting() {
     return EPOLL ? EpollSocketChannel.class : NioSocketChannel.class;
   }
-
-  /** Whether timers are fine. */
-  public static boolean fine() {
-    return EPOLL;
-  }
 }
