--- /dev/null
+++ b/src/main/java/rillyard/adapter/JsonTree.java
@@ -0,0 +1,84 @@
+package rillyard.adapter;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+
+/**
+ * Reads a JSON text (RFC 8259) into Jackson's tree with Jackson's parser, but without its mapper.
+ * Guards against what the mapper loads and sets up before it reads a first byte: some 200 classes,
+ * with calendars, locales and a serializer for each type, none of which a tree needs. Every start
+ * of a proxy waited for it.
+ */
+public final class JsonTree {
+  private static final JsonFactory PARSERS = new JsonFactory();
+  private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
+
+  private JsonTree() {}
+
+  /**
+   * Reads one value and all that belongs to it; what follows it is left, as a mapper would.
+   *
+   * @return the value; null where there is none but blanks
+   * @throws com.fasterxml.jackson.core.JsonProcessingException if it is not JSON, or nested too
+   *     deep (1,000 levels, the parser's own bound)
+   */
+  public static JsonNode read(byte[] text, int from, int length) throws IOException {
+    try (JsonParser p = PARSERS.createParser(text, from, length)) {
+      return p.nextToken() == null ? null : value(p);
+    }
+  }
+
+  /** Reads a whole array of bytes as {@link #read(byte[], int, int)} does. */
+  public static JsonNode read(byte[] text) throws IOException {
+    return read(text, 0, text.length);
+  }
+
+  /** Reads a string as {@link #read(byte[], int, int)} reads bytes. */
+  static JsonNode read(String text) throws IOException {
+    try (JsonParser p = PARSERS.createParser(text)) {
+      return p.nextToken() == null ? null : value(p);
+    }
+  }
+
+  private static JsonNode value(JsonParser p) throws IOException {
+    return switch (p.currentToken()) {
+      case START_OBJECT -> object(p);
+      case START_ARRAY -> array(p);
+      case VALUE_STRING -> NODES.textNode(p.getText());
+      case VALUE_NUMBER_INT ->
+          switch (p.getNumberType()) {
+            case INT -> NODES.numberNode(p.getIntValue());
+            case LONG -> NODES.numberNode(p.getLongValue());
+            default -> NODES.numberNode(p.getBigIntegerValue());
+          };
+      case VALUE_NUMBER_FLOAT -> NODES.numberNode(p.getDoubleValue());
+      case VALUE_TRUE -> NODES.booleanNode(true);
+      case VALUE_FALSE -> NODES.booleanNode(false);
+      default -> NODES.nullNode();
+    };
+  }
+
+  private static ObjectNode object(JsonParser p) throws IOException {
+    ObjectNode o = NODES.objectNode();
+    while (p.nextToken() == JsonToken.FIELD_NAME) {
+      String name = p.currentName();
+      p.nextToken();
+      o.set(name, value(p)); // the last of two with one name, as the mapper has it
+    }
+    return o;
+  }
+
+  private static ArrayNode array(JsonParser p) throws IOException {
+    ArrayNode a = NODES.arrayNode();
+    while (p.nextToken() != JsonToken.END_ARRAY) {
+      a.add(value(p));
+    }
+    return a;
+  }
+}
--- a/src/main/java/rillyard/adapter/SettingsReader.java
+++ b/src/main/java/rillyard/adapter/SettingsReader.java
@@ -2,23 +2,23 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import rillyard.balancer.Settings;
 
 /** Reads the settings of an instance; what is not known is skipped, what is absent is harmless. */
 public final class SettingsReader {
-  private static final ObjectMapper JSON = new ObjectMapper();
-
   private SettingsReader() {}
 
   static Settings read(String conf) {
     JsonNode root;
     try {
-      root = JSON.readTree(conf);
+      root = JsonTree.read(conf);
     } catch (JsonProcessingException e) {
       throw new MalformedInputException("malformed conf: " + e.getOriginalMessage());
+    } catch (IOException e) {
+      throw new IllegalStateException("a string has no input that could fail", e);
     }
     return read(root);
   }
--- a/src/main/java/rillyard/proxy/Config.java
+++ b/src/main/java/rillyard/proxy/Config.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -12,6 +11,7 @@
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.Map;
+import rillyard.adapter.JsonTree;
 import rillyard.adapter.MalformedInputException;
 import rillyard.adapter.SettingsReader;
 import rillyard.balancer.Settings;
@@ -29,8 +29,6 @@
     double connIdle,
     double connectTimeout,
     int maxOpen) {
-  private static final ObjectMapper JSON = new ObjectMapper();
-
   /**
    * Reads the file that {@code BALANCER_CONFIG} names. The other variables win over it, but for
    * discovery's address: the file is replaced while the process runs, its environment never is.
@@ -42,7 +40,7 @@
     }
     JsonNode root;
     try {
-      root = JSON.readTree(Files.readAllBytes(Path.of(file)));
+      root = JsonTree.read(Files.readAllBytes(Path.of(file)));
     } catch (JsonProcessingException e) {
       throw new ConfigException(file + ": not JSON: " + e.getOriginalMessage());
     } catch (IOException | InvalidPathException e) {
--- a/src/main/java/rillyard/proxy/Discovery.java
+++ b/src/main/java/rillyard/proxy/Discovery.java
@@ -1,7 +1,6 @@
 package rillyard.proxy;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -30,6 +29,7 @@
 import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.List;
+import rillyard.adapter.JsonTree;
 import rillyard.balancer.News;
 
 /**
@@ -50,8 +50,6 @@
   /** A longer line is no list of hosts. */
   private static final int MAX_LINE = 4 << 20;
 
-  private static final ObjectMapper JSON = new ObjectMapper();
-
   private final Dispatcher dispatcher;
   private final Log log;
   private InetSocketAddress address;
@@ -242,7 +240,7 @@
       if (!blank) {
         Hosts.News news;
         try {
-          news = dispatcher.hosts().read(JSON.readTree(line, 0, length));
+          news = dispatcher.hosts().read(JsonTree.read(line, 0, length));
         } catch (IOException | IllegalArgumentException e) {
           // The last good list stays; what the line was to tell comes again from its version on.
           log.line("watch: malformed line: " + e.getMessage());
--- a/src/main/java/rillyard/proxy/Proxy.java
+++ b/src/main/java/rillyard/proxy/Proxy.java
@@ -4,6 +4,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
@@ -69,10 +71,25 @@
    * @throws ConfigException if there is no configuration to run with
    */
   public static void run(Map<String, String> env) throws ConfigException {
+    begin(env, WARM_UP_MS).awaitEnd();
+  }
+
+  /**
+   * Starts one and returns once it is as ready as it gets within {@code warmUp} ms.
+   *
+   * @throws ConfigException if there is no configuration to run with
+   */
+  static Proxy begin(Map<String, String> env, long warmUp) throws ConfigException {
+    StartMarks.at("main");
+    // Netty would look for two other libraries first, in a jar that holds neither.
+    InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
     Config config = Config.load(env);
+    StartMarks.at("settings");
     Proxy p = new Proxy(config, new Log(System.err));
+    StartMarks.at("loop");
     p.front.warming(true);
     p.start();
+    StartMarks.at("listening");
     // An exit by SIGTERM is status 143 to the JVM, and a drain that is done is a success.
     Runtime.getRuntime()
         .addShutdownHook(
@@ -84,13 +101,15 @@
                 },
                 "drain"));
     Reload.onHangUp(env, p, p.log);
+    StartMarks.at("warm-up");
     try {
-      new WarmUp(config).run(WARM_UP_MS);
+      new WarmUp(config).run(warmUp);
     } catch (Exception e) {
       p.log.failure("the warm-up failed", e); // a cold proxy serves too
     }
     p.front.warming(false);
-    p.awaitEnd();
+    StartMarks.at("ready");
+    return p;
   }
 
   /** Listens and starts the watch. */
--- a/src/main/java/rillyard/proxy/Rehearsal.java
+++ b/src/main/java/rillyard/proxy/Rehearsal.java
@@ -17,7 +17,8 @@
       """
       {"name":"rehearsal","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
        "limits":{"cores":1.0,"memory_mb":128,"sockets":1024},
-       "known":{"version":1,"full":true,"servers":[]},
+       "known":{"version":1,"full":true,"servers":[
+        {"id":"a","addr":"127.0.0.1:1","zone":"z","state":"up"}]},
        "settings":{"balancers":1,"position":0,"zone":"z","zones":["z"],
         "membershipMode":"automatic",
         "classes":[
@@ -31,17 +32,15 @@
 
   private Rehearsal() {}
 
+  /** Runs one from its start to its drain, and ends the process. */
   public static void run() throws IOException, ConfigException {
     Path file = Files.createTempFile("rehearsal", ".json");
     try {
       Files.writeString(file, CONFIG);
-      new WarmUp(Config.load(Map.of("BALANCER_CONFIG", file.toString()))).run(MOST_MS);
-    } catch (ConfigException | IOException e) {
-      throw e;
-    } catch (Exception e) {
-      throw new IOException("the rehearsal failed", e);
+      Proxy.begin(Map.of("BALANCER_CONFIG", file.toString()), MOST_MS);
     } finally {
       Files.delete(file);
     }
+    System.exit(0); // as SIGTERM would end it: what a drain loads is of use too
   }
 }
--- a/src/main/java/rillyard/proxy/WarmUp.java
+++ b/src/main/java/rillyard/proxy/WarmUp.java
@@ -1,6 +1,6 @@
 package rillyard.proxy;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.bootstrap.Bootstrap;
@@ -94,7 +94,7 @@
 
   /** The same configuration, but for the addresses and the hosts. */
   private Config copy(InetSocketAddress hosts) {
-    ObjectNode known = new ObjectMapper().createObjectNode().put("version", 1).put("full", true);
+    ObjectNode known = JsonNodeFactory.instance.objectNode().put("version", 1).put("full", true);
     ArrayNode servers = known.putArray("servers");
     for (int i = 0; i < HOSTS; i++) {
       servers
--- a/src/test/java/rillyard/proxy/JarIT.java
+++ b/src/test/java/rillyard/proxy/JarIT.java
@@ -16,6 +16,9 @@
 
 /** Starts the built jar both ways, with the options the platform starts it with. */
 class JarIT {
+  /** The JVM's own, made at run time: proxies of annotations, method handles, accessors; 15 now. */
+  private static final long OUTSIDE_ARCHIVE = 25;
+
   private static Process start(Path config, String command) throws IOException {
     List<String> line = new ArrayList<>();
     line.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
@@ -182,7 +185,13 @@
         .doesNotContain(
             "picocli", "HdrHistogram", "dataformat.toml", "channel.epoll", "rillyard.cli",
             "rillyard.load", "rillyard.standin", "rillyard.audit", "rillyard.demo", "rillyard.ledger",
-            "rillyard.timing", "rillyard.input");
+            "rillyard.timing", "rillyard.input", "rillyard.process", "rillyard.measure")
+        // Each of these took a part of every start: a mapper with calendars and locales, the
+        // recorder's events, libraries for logs that are not there.
+        .doesNotContain("databind.ObjectMapper ", "jdk.jfr.internal.EventClassBuilder", "Slf4JLogger");
+    long outside =
+        log.lines().filter(l -> l.contains(" source: ") && !l.contains("shared objects file")).count();
+    assertThat(outside).as("classes from outside the archive").isBetween(1L, OUTSIDE_ARCHIVE);
   }
 
   @Test
