measure start: marks, CPU and first latencies of starts, in turn; one way to start a proxy

What a start costs could not be repeated by command, and three places started a proxy and waited for it. rillyard.process now holds command lines (Launch), a child's end (Child) and a proxy's way to ready (ProxyProcess) for demo, measure and tests.

measure start starts this build and another in turn on one core, or on a part of it left by busy neighbours, and prints wall and CPU time to each mark (the proxy says them where rillyard.marks is set), memory, the latency of the first 1, 10, 100 and 1,000 requests, and their CPU.

It asks for health every 10 ms at most: every 1 ms the questions themselves warm the proxy up.

--- a/src/main/java/rillyard/cli/MeasureCommand.java
+++ b/src/main/java/rillyard/cli/MeasureCommand.java
@@ -2,10 +2,14 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import rillyard.measure.Baseline;
+import rillyard.measure.Starts;
 
 @Command(
     name = "measure",
@@ -13,11 +17,11 @@
     mixinStandardHelpOptions = true,
     versionProvider = Version.class,
     synopsisSubcommandLabel = "WHAT",
-    subcommands = {MeasureCommand.Proxy.class, MeasureCommand.Generator.class})
+    subcommands = {MeasureCommand.Proxy.class, MeasureCommand.Generator.class, MeasureCommand.Start.class})
 final class MeasureCommand implements Callable<Integer> {
   @Override
   public Integer call() {
-    System.err.println("rillyard: say what to measure: proxy or generator");
+    System.err.println("rillyard: say what to measure: proxy, generator or start");
     return Cli.USAGE;
   }
 
@@ -44,6 +48,46 @@
     }
   }
 
+  @Command(
+      name = "start",
+      description = "What a start costs: wall and CPU time to each mark, and the first requests' latency.",
+      mixinStandardHelpOptions = true,
+      versionProvider = Version.class)
+  static final class Start implements Callable<Integer> {
+    @Option(names = "--starts", defaultValue = "10", description = "Starts of each build (${DEFAULT-VALUE}).")
+    private int starts;
+
+    @Option(names = "--cores", defaultValue = "1",
+        description = "Part of a core for the proxy, left to it by busy neighbours (${DEFAULT-VALUE}).")
+    private double cores;
+
+    @Option(names = "--root", defaultValue = ".",
+        description = "Folder that holds deploy/ and target/ (${DEFAULT-VALUE}).")
+    private Path root;
+
+    @Option(names = "--against", paramLabel = "ROOT", description = "Such a folder of another build, in turn.")
+    private Path against;
+
+    @Option(names = "--option", paramLabel = "OPTION", description = "A further option of the JVM, for all.")
+    private List<String> options = List.of();
+
+    @Override
+    public Integer call() throws Exception {
+      if (starts < 1 || cores <= 0 || cores > 1) {
+        System.err.println("rillyard: expected --starts of 1 or more and --cores above 0, up to 1");
+        return Cli.USAGE;
+      }
+      Map<String, Path> builds = new LinkedHashMap<>();
+      builds.put("this", root);
+      if (against != null) {
+        builds.put("against", against);
+      }
+      Path folder = Files.createTempDirectory("rillyard-measure");
+      new Starts(folder, System.out).run(builds, options, starts, cores);
+      return Cli.DONE;
+    }
+  }
+
   @Command(
       name = "generator",
       description = "The highest rate that one core of the generator holds on schedule.",
--- a/src/main/java/rillyard/demo/Demo.java
+++ b/src/main/java/rillyard/demo/Demo.java
@@ -21,6 +21,7 @@
 import rillyard.load.Marks;
 import rillyard.load.Report;
 import rillyard.load.ReportFiles;
+import rillyard.process.ProxyProcess;
 import rillyard.standin.StandIn;
 import rillyard.standin.StandInPlan;
 import rillyard.standin.StandInPlanReader;
--- a/src/main/java/rillyard/measure/Baseline.java
+++ b/src/main/java/rillyard/measure/Baseline.java
@@ -4,17 +4,17 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.HttpURLConnection;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
+import java.util.function.Supplier;
+import rillyard.process.Child;
+import rillyard.process.Launch;
+import rillyard.process.ProxyProcess;
 
 /**
  * What the proxy costs beside going straight to the hosts, and what the generator costs itself; and
@@ -22,7 +22,6 @@
  */
 public final class Baseline {
   private static final ObjectMapper JSON = new ObjectMapper();
-  private static final long READY_NANOS = 60_000_000_000L;
   private static final String HOSTS =
       """
       [hosts]
@@ -68,18 +67,21 @@
       Path ready = folder.resolve("ready.json");
       hosts.awaitFile(ready);
       String direct = addresses(ready);
-      int port = freePort();
-      try (Child proxy = proxy(ready, port)) {
+      Launch launch = Launch.self().with(List.of("@deploy/proxy.jvm")).on("1");
+      try (ProxyProcess proxy =
+          ProxyProcess.launch(launch, ready, ProxyProcess.freeAddress(), folder.resolve("proxy.log"))) {
+        proxy.await(ProxyProcess.State.READY);
+        String proxied = "127.0.0.1:" + proxy.address().getPort();
         out.printf("%8s %5s %9s %9s %9s %9s %9s %9s %11s %11s %7s%n", "rate", "pair", "direct", "",
             "proxied", "", "added", "", "generator", "proxy", "ratio");
         out.printf("%8s %5s %9s %9s %9s %9s %9s %9s %11s %11s %7s%n", "1/s", "", "p50 ms", "p99",
             "p50", "p99", "p50", "p99", "us/request", "us/request", "");
-        load(proxy, "127.0.0.1:" + port, rates[rates.length - 1], seconds); // what is cold is not counted
+        load(proxy::cpu, proxied, rates[rates.length - 1], seconds); // what is cold is not counted
         for (int rate : rates) {
           List<double[]> rows = new ArrayList<>();
           for (int i = 0; i < pairs; i++) {
-            Run a = load(proxy, direct, rate, seconds);
-            Run b = load(proxy, "127.0.0.1:" + port, rate, seconds);
+            Run a = load(proxy::cpu, direct, rate, seconds);
+            Run b = load(proxy::cpu, proxied, rate, seconds);
             double[] row = {a.p50, a.p99, b.p50, b.p99, b.p50 - a.p50, b.p99 - a.p99, b.loadMicros,
                 b.proxyMicros, b.loadMicros / b.proxyMicros};
             rows.add(row);
@@ -116,7 +118,7 @@
       out.printf("%8s %9s %9s %11s %s%n", "rate 1/s", "p50 ms", "p99", "us/request", "");
       int failures = 0;
       for (int rate = from; rate <= most && failures < 2; rate += step) {
-        Run r = load(hosts, direct, rate, seconds);
+        Run r = load(hosts::cpu, direct, rate, seconds);
         failures += r.valid ? 0 : 1;
         out.printf(Locale.ROOT, "%8d %9.3f %9.3f %11.1f %s%n", rate, r.p50, r.p99, r.loadMicros,
             r.valid ? "on schedule" : "INVALID");
@@ -128,43 +130,11 @@
     Path ready = folder.resolve("ready.json");
     Files.deleteIfExists(ready);
     Path timetable = Files.writeString(folder.resolve("hosts.toml"), HOSTS);
-    return Child.rillyard("2-5", List.of(), Map.of(), folder.resolve("hosts.log"), "stand-in",
+    return Child.start(Launch.self().on("2-5"), folder.resolve("hosts.log"), null, "stand-in",
         "--timetable", timetable.toString(), "--ready-file", ready.toString(), "--threads", "4");
   }
 
-  private Child proxy(Path ready, int port) throws IOException, InterruptedException {
-    Child c =
-        Child.rillyard("1", List.of("@deploy/proxy.jvm"),
-            Map.of("BALANCER_CONFIG", ready.toString(), "BALANCER_LISTEN", "127.0.0.1:" + port),
-            folder.resolve("proxy.log"), "proxy");
-    long until = System.nanoTime() + READY_NANOS;
-    while (!healthy(port)) {
-      if (!c.alive() || System.nanoTime() > until) {
-        c.close();
-        throw new IOException("the proxy did not come up");
-      }
-      Thread.sleep(20);
-    }
-    return c;
-  }
-
-  private static boolean healthy(int port) {
-    try {
-      HttpURLConnection c =
-          (HttpURLConnection) URI.create("http://127.0.0.1:" + port + "/_health").toURL().openConnection();
-      c.setConnectTimeout(1_000);
-      c.setReadTimeout(1_000);
-      try {
-        return c.getResponseCode() == 200;
-      } finally {
-        c.disconnect();
-      }
-    } catch (IOException e) {
-      return false;
-    }
-  }
-
-  private Run load(Child proxy, String target, int rate, int seconds)
+  private Run load(Supplier<Duration> bearer, String target, int rate, int seconds)
       throws IOException, InterruptedException {
     Path plan =
         Files.writeString(folder.resolve("plan.toml"),
@@ -172,11 +142,11 @@
                 + seconds + "\nrate = " + rate + "\n");
     Path json = folder.resolve("run-" + runs + ".json");
     try (Child load =
-        Child.rillyard("0", List.of("@deploy/load.jvm"), Map.of(), json, "load", "--target", target,
+        Child.start(Launch.self().with(List.of("@deploy/load.jvm")).on("0"), json, null, "load", "--target", target,
             "--plan", plan.toString(), "--json")) {
-      double before = proxy.cpu().toNanos() / 1e3;
+      double before = bearer.get().toNanos() / 1e3;
       load.await();
-      double cpu = proxy.cpu().toNanos() / 1e3 - before;
+      double cpu = bearer.get().toNanos() / 1e3 - before;
       JsonNode r = JSON.readTree(json.toFile());
       JsonNode all = r.path("total");
       double offered = all.path("offered").asDouble();
@@ -196,12 +166,6 @@
     return String.join(",", all);
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return s.getLocalPort();
-    }
-  }
-
   /** Reads rates, as {@code 500,1000}. */
   public static int[] rates(String text) {
     return Arrays.stream(text.split(",")).mapToInt(s -> Integer.parseInt(s.trim())).toArray();
--- /dev/null
+++ b/src/main/java/rillyard/measure/Neighbours.java
@@ -0,0 +1,44 @@
+package rillyard.measure;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Processes that do nothing but turn, on a core that another process is to have a part of: with n
+ * of them a process that is always busy gets 1 / (n + 1) of the core from Linux's fair scheduler,
+ * in slices of some ms. One that mostly sleeps is favoured when it wakes, so this is true to a
+ * start, which is all work, and kinder than a quota to what comes after it.
+ */
+final class Neighbours implements AutoCloseable {
+  private final List<Process> all = new ArrayList<>();
+
+  /**
+   * Starts them.
+   *
+   * @param core the core, as {@code taskset -c} takes it
+   * @param share the part of the core to be left, from above 0 to 1; rounded to one over a whole number
+   */
+  Neighbours(String core, double share) throws IOException {
+    int n = (int) Math.round(1 / share) - 1;
+    for (int i = 0; i < n; i++) {
+      all.add(
+          new ProcessBuilder("/usr/bin/taskset", "-c", core, "/bin/sh", "-c", "while :; do :; done")
+              .start());
+    }
+  }
+
+  /** Guards against figures of a whole core that are taken for those of a part. */
+  void checkRunning() {
+    for (Process p : all) {
+      if (!p.isAlive()) {
+        throw new IllegalStateException("a busy neighbour has ended by itself");
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    all.forEach(Process::destroyForcibly);
+  }
+}
--- a/src/test/java/rillyard/ArchitectureTest.java
+++ b/src/test/java/rillyard/ArchitectureTest.java
@@ -45,7 +45,7 @@
           .should().dependOnClassesThat()
           .resideInAnyPackage(
               "rillyard.load..", "rillyard.standin..", "rillyard.audit..", "rillyard.demo..",
-              "rillyard.ledger..", "rillyard.timing..", "rillyard.input..", "rillyard.cli..",
+              "rillyard.ledger..", "rillyard.timing..", "rillyard.input..", "rillyard.cli..", "rillyard.process..", "rillyard.measure..",
               "picocli..", "org.HdrHistogram..", "com.fasterxml.jackson.dataformat..", "io.netty.channel.epoll..")
           .because("the platform's process loads none of it");
 
--- a/src/test/java/rillyard/cli/UsageIT.java
+++ b/src/test/java/rillyard/cli/UsageIT.java
@@ -15,8 +15,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
-import rillyard.demo.ProxyProcess;
 import rillyard.ledger.LedgerReader;
+import rillyard.process.ProxyProcess;
 
 /** The built jar as the pages say to use it, each command a process of its own. */
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
