--- a/src/main/java/rillyard/cli/MeasureCommand.java
+++ b/src/main/java/rillyard/cli/MeasureCommand.java
@@ -82,6 +82,12 @@
       if (against != null) {
         builds.put("against", against);
       }
+      for (Path build : builds.values()) {
+        if (!Files.exists(build.resolve("target/rillyard.jar"))) {
+          System.err.println("rillyard: " + build + ": expected a folder with target/rillyard.jar, a build");
+          return Cli.USAGE;
+        }
+      }
       Path folder = Files.createTempDirectory("rillyard-measure");
       new Starts(folder, System.out).run(builds, options, starts, cores);
       return Cli.DONE;
--- a/src/test/java/rillyard/cli/CliTest.java
+++ b/src/test/java/rillyard/cli/CliTest.java
@@ -41,6 +41,9 @@
     assertThat(run("load", "--target", "localhost:1", "--plan", "p")).isEqualTo(2);
     assertThat(err.toString()).contains("'localhost:1', expected IP:port");
     assertThat(run("stand-in", "--hosts", "many")).isEqualTo(2);
+    assertThat(run("measure", "start", "--cores", "1.5")).isEqualTo(2);
+    assertThat(run("measure", "start", "--starts", "0")).isEqualTo(2);
+    assertThat(run("measure", "start", "--against", folder.toString())).isEqualTo(2);
   }
 
   @Test
--- /dev/null
+++ b/src/test/java/rillyard/proxy/RestartIT.java
@@ -0,0 +1,141 @@
+package rillyard.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import rillyard.process.Child;
+import rillyard.process.Launch;
+import rillyard.process.ProxyProcess;
+
+/** The built jar at its start and its end, with what goes wrong there. Discovery never answers. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class RestartIT {
+  private static final Launch BUILT = Launch.platform(Path.of("").toAbsolutePath());
+
+  @TempDir Path folder;
+
+  private ProxyProcess launch(ScriptedServer discovery, String... known) throws Exception {
+    Path config = Rig.config(discovery.port(), c -> {}, known);
+    return ProxyProcess.launch(BUILT, config, ProxyProcess.freeAddress(), folder.resolve("log"));
+  }
+
+  private String log() throws Exception {
+    return Files.readString(folder.resolve("log"));
+  }
+
+  @Test
+  void aTermDuringTheWarmUpEndsItInOrder() throws Exception {
+    try (ScriptedServer silent = new ScriptedServer(Peer::awaitEnd);
+        ProxyProcess p = launch(silent, Rig.server("a", Rig.freePort()))) {
+      p.await(ProxyProcess.State.LISTENING);
+      p.process().terminate();
+      assertThat(p.process().await()).isZero();
+      assertThat(log()).contains("drained").doesNotContain("Exception");
+    }
+  }
+
+  @Test
+  void aSecondTermChangesNothingForWhatIsUnderWay() throws Exception {
+    CountDownLatch answer = new CountDownLatch(1);
+    try (ScriptedServer silent = new ScriptedServer(Peer::awaitEnd);
+        ScriptedServer host =
+            ScriptedServer.host(
+                r -> {
+                  answer.await();
+                  return ScriptedServer.ok("served");
+                });
+        ProxyProcess p = launch(silent, Rig.server("a", host.port()))) {
+      p.await(ProxyProcess.State.READY);
+      try (Peer held = Peer.connect(p.address().getPort())) {
+        held.write(Rig.post("claim", 1_500, "", "x"));
+        host.request();
+        p.process().terminate();
+        p.process().terminate();
+        answer.countDown();
+        assertThat(held.read().text()).isEqualTo("served");
+      }
+      assertThat(p.process().await()).isZero();
+    }
+  }
+
+  @Test
+  void aKnownListOfHostsThatAreAllGoneEndsEachRequestInTime() throws Exception {
+    try (ScriptedServer silent = new ScriptedServer(Peer::awaitEnd);
+        ProxyProcess p =
+            launch(silent, Rig.server("a", Rig.freePort()), Rig.server("b", Rig.freePort()))) {
+      p.await(ProxyProcess.State.READY);
+      for (String request : new String[] {Rig.get("read", 300), Rig.post("claim", 300, "", "x")}) {
+        try (Peer c = Peer.connect(p.address().getPort())) {
+          c.write(request);
+          assertThat(c.read().status()).isIn(502, 503, 504);
+        }
+      }
+    }
+  }
+
+  @Test
+  void aThousandClientsAtOnceDuringTheWarmUpKeepNobodyFromBeingServedAfter() throws Exception {
+    try (ScriptedServer silent = new ScriptedServer(Peer::awaitEnd);
+        ScriptedServer host = ScriptedServer.host(r -> ScriptedServer.ok("served"));
+        ProxyProcess p = launch(silent, Rig.server("a", host.port()))) {
+      p.await(ProxyProcess.State.LISTENING);
+      List<Peer> crowd = new ArrayList<>();
+      try {
+        for (int i = 0; i < 1_000; i++) {
+          crowd.add(Peer.connect(p.address().getPort()));
+        }
+        p.await(ProxyProcess.State.READY);
+        try (Peer c = Peer.connect(p.address().getPort())) {
+          c.write(Rig.post("claim", 1_500, "", "x"));
+          assertThat(c.read().text()).isEqualTo("served");
+        }
+      } finally {
+        for (Peer c : crowd) {
+          c.close();
+        }
+      }
+    }
+  }
+
+  /**
+   * An archive that is not what the build made costs time only. One that is cut off is not among
+   * these: the JVM maps it by the sizes in its head and ends by SIGBUS; see docs/restarts.md.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"missing", "noise", "of another jar"})
+  void aStartGoesOnWithoutAnArchiveThatIsNoneOfIts(String kind) throws Exception {
+    Path made = Path.of("target/rillyard.jsa").toAbsolutePath();
+    Path archive = folder.resolve("archive.jsa");
+    Path jar = Path.of("target/rillyard.jar").toAbsolutePath();
+    switch (kind) {
+      case "noise" -> Files.write(archive, "no archive at all".repeat(10_000).getBytes(StandardCharsets.US_ASCII));
+      case "of another jar" -> {
+        Files.copy(made, archive);
+        jar = Files.copy(jar, folder.resolve("other.jar"));
+      }
+      default -> assertThat(archive).doesNotExist();
+    }
+    Launch launch =
+        new Launch(BUILT.java(), BUILT.folder(), null,
+            List.of("@deploy/proxy.jvm", "-XX:SharedArchiveFile=" + archive, "-Xlog:class+load"),
+            List.of("-jar", jar.toString()), BUILT.environment());
+    Path out = folder.resolve("out");
+    try (Child c = Child.start(launch, out, out, "rehearse")) {
+      assertThat(c.await()).isZero();
+    }
+    assertThat(Files.readString(out))
+        .contains("rillyard.proxy.Dispatcher source: file:")
+        .contains("rillyard: drained");
+  }
+}
