SIGTERM from the first moment on ends a start in order; tests that were weaker than said

Read again: the drain at SIGTERM was set up only once the proxy listened. A signal between the two ended it with 143, and what it had just taken was lost; the test of SIGTERM in the warm-up could meet that gap and fail by chance. The drain is now set up before anything is taken.

RestartIT sends SIGTERM at three marks of the start; without the change the earliest fails (143). The test of known hosts that are gone now looks at the time too, and tests delete their files.

--- a/src/main/java/rillyard/proxy/Proxy.java
+++ b/src/main/java/rillyard/proxy/Proxy.java
@@ -86,10 +86,7 @@
     Config config = Config.load(env);
     StartMarks.at("settings");
     Proxy p = new Proxy(config, new Log(System.err));
-    StartMarks.at("loop");
-    p.front.warming(true);
-    p.start();
-    StartMarks.at("listening");
+    // Before anything is taken: guards against a signal that finds it listening and without a drain.
     // An exit by SIGTERM is status 143 to the JVM, and a drain that is done is a success.
     Runtime.getRuntime()
         .addShutdownHook(
@@ -100,6 +97,10 @@
                   Runtime.getRuntime().halt(0);
                 },
                 "drain"));
+    StartMarks.at("loop");
+    p.front.warming(true);
+    p.start();
+    StartMarks.at("listening");
     Reload.onHangUp(env, p, p.log);
     StartMarks.at("warm-up");
     try {
@@ -183,7 +184,9 @@
     boolean done = now >= acceptUntil && !front.busy();
     if (done || now >= drainUntil) {
       log.line(done ? "drained" : "drain cut short by its time");
-      front.listener().close();
+      if (front.listener() != null) { // null where the end came before it listened
+        front.listener().close();
+      }
       ended.countDown();
     } else {
       loop.schedule(this::pollDrain, POLL_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/rillyard/proxy/RestartIT.java
+++ b/src/test/java/rillyard/proxy/RestartIT.java
@@ -21,12 +21,16 @@
 /** The built jar at its start and its end, with what goes wrong there. Discovery never answers. */
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
 class RestartIT {
-  private static final Launch BUILT = Launch.platform(Path.of("").toAbsolutePath());
+  private static final Launch BUILT = Launch.platform(Path.of("").toAbsolutePath()).with(List.of("-Drillyard.marks=true"));
+
+  /** Far more than the 0.3 s that the requests have, and far less than a hang. */
+  private static final long MUCH_NANOS = 5_000_000_000L;
 
   @TempDir Path folder;
 
   private ProxyProcess launch(ScriptedServer discovery, String... known) throws Exception {
-    Path config = Rig.config(discovery.port(), c -> {}, known);
+    Path config = folder.resolve("config.json");
+    Files.move(Rig.config(discovery.port(), c -> {}, known), config);
     return ProxyProcess.launch(BUILT, config, ProxyProcess.freeAddress(), folder.resolve("log"));
   }
 
@@ -34,11 +38,15 @@
     return Files.readString(folder.resolve("log"));
   }
 
-  @Test
-  void aTermDuringTheWarmUpEndsItInOrder() throws Exception {
+  /** From the loop on there is something to drain, whether or not it listens yet. */
+  @ParameterizedTest
+  @ValueSource(strings = {"loop", "listening", "warm-up"})
+  void aTermDuringTheStartEndsItInOrder(String mark) throws Exception {
     try (ScriptedServer silent = new ScriptedServer(Peer::awaitEnd);
         ProxyProcess p = launch(silent, Rig.server("a", Rig.freePort()))) {
-      p.await(ProxyProcess.State.LISTENING);
+      while (!log().contains("mark " + mark + " ") && p.process().alive()) {
+        Thread.sleep(1);
+      }
       p.process().terminate();
       assertThat(p.process().await()).isZero();
       assertThat(log()).contains("drained").doesNotContain("Exception");
@@ -77,8 +85,10 @@
       p.await(ProxyProcess.State.READY);
       for (String request : new String[] {Rig.get("read", 300), Rig.post("claim", 300, "", "x")}) {
         try (Peer c = Peer.connect(p.address().getPort())) {
+          long sent = System.nanoTime();
           c.write(request);
           assertThat(c.read().status()).isIn(502, 503, 504);
+          assertThat(System.nanoTime() - sent).isLessThan(MUCH_NANOS);
         }
       }
     }
--- a/src/test/java/rillyard/proxy/WarmUpTest.java
+++ b/src/test/java/rillyard/proxy/WarmUpTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.Set;
@@ -16,6 +17,7 @@
     Path file = Rig.config(1, c -> {}, Rig.server("a", 1));
     Set<Thread> before = Thread.getAllStackTraces().keySet();
     int answered = new WarmUp(Config.load(Map.of("BALANCER_CONFIG", file.toString()))).run(MOST_MS);
+    Files.delete(file);
     assertThat(answered).isBetween(20, 200);
     for (Thread t : Thread.getAllStackTraces().keySet()) {
       if (!before.contains(t) && t.getName().startsWith("loop-")) {
@@ -30,6 +32,7 @@
     Path file = Rig.config(1, c -> c.withObject("/settings").putArray("classes"), Rig.server("a", 1));
     long from = System.nanoTime();
     int answered = new WarmUp(Config.load(Map.of("BALANCER_CONFIG", file.toString()))).run(MOST_MS);
+    Files.delete(file);
     assertThat(answered).isZero();
     assertThat(System.nanoTime() - from).isLessThan(MOST_MS * 1_000_000 / 2);
   }
