--- /dev/null
+++ b/src/main/java/rillyard/operator/OperatorCall.java
@@ -0,0 +1,89 @@
+package rillyard.operator;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+/** One call on the second address: 2xx means yes, 4xx and 5xx no, with a line that says why. */
+final class OperatorCall extends SimpleChannelInboundHandler<FullHttpRequest> {
+  private static final int MAX_NAME = 128;
+
+  private record Reply(HttpResponseStatus status, String text) {}
+
+  private final Operations operations;
+
+  OperatorCall(Operations operations) {
+    this.operations = operations;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+    Reply reply;
+    try {
+      reply =
+          request.decoderResult().isFailure()
+              ? new Reply(HttpResponseStatus.BAD_REQUEST, "not a request that can be read")
+              : carriedOut(request);
+    } catch (IOException | RuntimeException e) {
+      reply = new Reply(HttpResponseStatus.INTERNAL_SERVER_ERROR, "not done: " + e.getMessage());
+    }
+    ByteBuf body = Unpooled.copiedBuffer(reply.text(), StandardCharsets.UTF_8);
+    DefaultFullHttpResponse r =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, reply.status(), body);
+    r.headers()
+        .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
+        .set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    ctx.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private Reply carriedOut(FullHttpRequest request) throws IOException {
+    String path = request.uri();
+    boolean post = path.startsWith("/_hosts/");
+    if (!path.equals("/_ready")
+        && !path.equals("/_vars")
+        && !path.equals("/_hosts/detach")
+        && !path.equals("/_hosts/attach")) {
+      return new Reply(HttpResponseStatus.NOT_FOUND, "no such call: " + path + "\n");
+    }
+    if (!request.method().equals(post ? HttpMethod.POST : HttpMethod.GET)) {
+      return new Reply(
+          HttpResponseStatus.METHOD_NOT_ALLOWED, path + " is called by " + (post ? "POST" : "GET") + "\n");
+    }
+    if (path.equals("/_ready")) {
+      return operations.ready()
+          ? new Reply(HttpResponseStatus.OK, "ready\n")
+          : new Reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n");
+    }
+    if (path.equals("/_vars")) {
+      return new Reply(HttpResponseStatus.OK, operations.figures().text());
+    }
+    String host = request.content().toString(StandardCharsets.UTF_8).strip();
+    if (host.isEmpty() || host.length() > MAX_NAME) {
+      return new Reply(
+          HttpResponseStatus.BAD_REQUEST,
+          "the body is to be the id of one host, 1 to " + MAX_NAME + " characters\n");
+    }
+    boolean out = path.endsWith("/detach");
+    boolean known = out ? operations.detach(host) : operations.attach(host);
+    return known
+        ? new Reply(HttpResponseStatus.OK, host + (out ? " is out\n" : " may serve again\n"))
+        : new Reply(HttpResponseStatus.NOT_FOUND, "no host of the id " + host + "\n");
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    ctx.close();
+  }
+}
