Second address with figures and hosts out by hand; a successor takes over under load

Operators had no way to ask a running proxy, to take a host out or to replace the process. rillyard.operator serves GET /_ready and /_vars and POST /_hosts/detach and attach on a thread of its own; rillyard.membership lays hosts out by hand over what discovery says before the module hears of it; rillyard.succession keeps them as names of files that both processes read, and tells by file locks who follows whom. Listeners share the address by SO_REUSEPORT, a successor warms up before it listens, the old process closes its listener behind the last accept and moves clients off.

--- a/src/main/java/rillyard/balancer/Admission.java
+++ b/src/main/java/rillyard/balancer/Admission.java
@@ -141,8 +141,8 @@
   }
 
   /**
-   * Chance that lasts for a moment, spread evenly over the moments. Guards against clients that come
-   * back at once: with a chance of its own for each try nearly all would be let through in the end.
+   * Chance that lasts for a moment, spread evenly. Guards against clients that come back at once: with a
+   * chance of its own for each try nearly all would be let through in the end.
    */
   private double coin(double now) {
     double turn = start + Math.floor(now / (Tuning.REFUSE_SLOT * settings.meanAim())) * Tuning.GOLDEN;
--- a/src/main/java/rillyard/balancer/Attempts.java
+++ b/src/main/java/rillyard/balancer/Attempts.java
@@ -12,7 +12,7 @@
     final Fleet.Host host;
     final String zone;
     final long cell;
-    final double sentAt;
+    double sentAt; // infinite while the request still comes
     double heldBefore = Double.NaN;
     boolean open = true;
     boolean mayHaveRun = true;
@@ -35,7 +35,7 @@
     final long id;
     final ClassState type;
     final double arrivedAt;
-    final double deadline;
+    double deadline;
     final double aimLeft;
     double standing = 1;
     double patience;
@@ -78,11 +78,10 @@
     }
 
     /**
-     * What is left (ms) of the aim for a request that came with this budget, below 0 once it is past.
-     * The aim runs from the client's first try, and a retry's budget is what is left of the whole
-     * deadline. Guards against retries that can't be of use any more taking the place of requests
-     * that can, whatever made clients retry. Harm: a client that always asks for less time than
-     * others of its class is taken to retry, and is refused before them in a jam.
+     * What is left (ms) of the aim for a request that came with this budget, below 0 once it is past. The
+     * aim runs from the client's first try, and a retry's budget is what is left of the whole deadline.
+     * Guards against retries that can't be of use any more taking the place of requests that can. Harm: a
+     * client that always asks for less time than others of its class is refused before them in a jam.
      */
     double aimLeft(double budget) {
       double told = Math.min(budget, rules.deadline());
@@ -152,7 +151,7 @@
   }
 
   Attempt start(Call c, Fleet.Host h, double now) {
-    Attempt a = new Attempt(c, c.attempts.size(), h, now);
+    Attempt a = new Attempt(c, c.attempts.size(), h, Double.isInfinite(c.deadline) ? c.deadline : now);
     c.attempts.add(a);
     c.open++;
     h.inFlight++;
--- a/src/main/java/rillyard/balancer/Balancer.java
+++ b/src/main/java/rillyard/balancer/Balancer.java
@@ -58,7 +58,21 @@
     }
   }
 
-  /** A client's request has come. */
+  /** Listed hosts that get no request as a matter of course: not ready, or ejected. */
+  public int avoided() {
+    return fleet.avoided();
+  }
+
+  /** A request that came with an infinite budget is whole, and was written so to its present host. */
+  public void onWhole(double now, long request, double budget) {
+    Attempts.Call c = calls.get(request);
+    if (c != null) {
+      c.deadline = now + budget;
+      c.attempts.forEach(a -> a.sentAt = Math.min(a.sentAt, now));
+    }
+  }
+
+  /** A client's request has come, or so much of it that the rest has to follow it to a host. */
   public void onRequest(double now, Arrival arrival) {
     Attempts.ClassState type = classes.computeIfAbsent(arrival.className(), n -> unknown(n, arrival));
     Attempts.Call c = new Attempts.Call(arrival.id(), type, now, arrival.budget());
@@ -120,8 +134,7 @@
       }
       case ERROR -> health.failed(a.host, now, true);
       case FULL -> {
-        // Guards against a jam that spreads: a full host is busy, not broken. Ejecting it would push
-        // its share onto others as full; a full queue counts as the worst pressure, which refuses.
+        // Guards against a jam that spreads: a full host is busy, not broken; it counts as pressure.
         health.crowded(a.host, now);
         admission.answered(now, 2 * type.rules.aim(), type.rules.aim());
       }
@@ -165,10 +178,7 @@
       return;
     }
     Attempts.Call c = calls.get(token);
-    if (c == null || c.ended) {
-      return;
-    }
-    if (c.open > 0) {
+    if (c != null && !c.ended && c.open > 0) {
       overdue(c, now);
     }
   }
--- a/src/main/java/rillyard/balancer/Draw.java
+++ b/src/main/java/rillyard/balancer/Draw.java
@@ -89,9 +89,8 @@
   }
 
   /**
-   * Whether the host can be expected to answer a first attempt in time. Each host is asked on its
-   * own: the winner's figure alone would refuse all where an idle host of which nothing new is
-   * heard wins every draw.
+   * Whether the host can be expected to answer a first attempt in time. Each is asked on its own: by the
+   * winner's figure all are refused where an idle host of which nothing is heard wins every draw.
    */
   private boolean inTime(Fleet.Host h, Attempts.Call c, double now) {
     return fleet.expectedAnswer(h, now) <= c.patience;
@@ -119,11 +118,7 @@
     }
   }
 
-  /**
-   * Guards rule 4 without agreement: each proxy lends a cold host the part of its own mean share
-   * that the host's least warmth and the fall multiple allow, so the sum over all stays inside.
-   * What counts is what hosts serve, not what clients ask: their retries multiply in a jam.
-   */
+  /** Guards rule 4: lends a cold host the part of the own mean share (served, not asked) that it may get. */
   private boolean credit(Fleet.Host h, double now) {
     Settings.Rules rules = settings.rules();
     double share = admission.servedRate(now) / Math.max(1, fleet.ready().size());
--- a/src/main/java/rillyard/balancer/Fleet.java
+++ b/src/main/java/rillyard/balancer/Fleet.java
@@ -84,6 +84,10 @@
     return byId.get(id);
   }
 
+  int avoided() {
+    return (int) byId.values().stream().filter(h -> h.listed && (!h.sendable || h.halfOpen)).count();
+  }
+
   /** Hosts that may get requests, in ring order. */
   List<Host> ready() {
     return ready;
@@ -133,8 +137,7 @@
   }
 
   private void restarted(Host h, double now, java.util.SplittableRandom random) {
-    // A new process owes nothing to what the old one did; its credit starts at chance, so that
-    // many proxies told at once do not all send at once.
+    // A new process owes nothing to the old one; its credit starts at chance, or all would send at once.
     h.losses.clear();
     h.failuresInRow = 0;
     h.ejectedUntil = 0;
@@ -192,12 +195,11 @@
   }
 
   /**
-   * The time (ms) that the host's queue will take; 0 where nothing tells. Guards against a report
-   * that is believed for longer than its queue lasts, as what is refused for it brings no newer
-   * one; and against one that is older than what we sent: the host holds at least what of that is
-   * still out. What was sent and is over fades with the report, or requests that got no answer,
-   * and so no report, would count as a queue for ever. It should serve for any figure that only
-   * an answer renews, and does harm where a queue lasts for many aims and nothing is heard of it.
+   * The time (ms) that the host's queue will take; 0 where nothing tells. Guards against a report that
+   * is believed for longer than its queue lasts, as what is refused for it brings no newer one; and
+   * against one older than what we sent: the host holds at least what of that is still out. What is over
+   * fades with the report, or requests without an answer would count as a queue for ever. It should serve
+   * for any figure that only an answer renews; harm: a queue that lasts for aims and is not heard of.
    */
   double expectedAnswer(Host h, double now) {
     KindSpeed k = kinds.get(h.kind);
--- a/src/main/java/rillyard/balancer/Health.java
+++ b/src/main/java/rillyard/balancer/Health.java
@@ -28,12 +28,12 @@
   }
 
   /**
-   * Guards against hosts that take work and answer nothing: time-outs tell of them much too late,
-   * so the time since the last answer, with work out, is held against the expected answer time.
+   * Guards against hosts that take work and answer nothing: time-outs tell of them much too late, so the
+   * time since the last answer, with whole requests out, is held against the expected answer time.
    */
   boolean silent(Fleet.Host h, double now, double overdue) {
     Attempts.Attempt first = h.oldest;
-    while (first != null && overtaken(first)) {
+    while (first != null && (overtaken(first) || first.sentAt > now)) {
       first = first.after;
     }
     double since = first == null ? now : Math.max(first.sentAt, h.lastAnswer);
@@ -41,9 +41,8 @@
   }
 
   /**
-   * Whether what was sent to the host later has been answered. Guards against a host that loses some
-   * of what it gets being taken for one that hangs, or for a queue: it is of use for all the others,
-   * and what it lost counts as in flight. One that loses nearly all answers too seldom for it.
+   * Whether what was sent to the host later has been answered. Guards against a host that loses some of
+   * what it gets being taken for one that hangs, or for a queue: it is of use for the others.
    */
   boolean overtaken(Attempts.Attempt a) {
     return a.sentAt < a.host.newestAnswered;
@@ -55,11 +54,10 @@
   }
 
   /**
-   * What a request of this class counts at the host: the own ones in flight, and what losses add.
-   * Guards against a host that loses one class, or a part of each, and is quick with the rest: it
-   * looks idle. It is used where the others are busier by as much, so the rest of its room is not
-   * lost, and no trial is needed. Harm: a class that is lost everywhere by its own fault is
-   * spread by chance losses instead of by counts.
+   * What a request of this class counts at the host: the own ones in flight, and what losses add. Guards
+   * against a host that loses one class, or a part of each, and is quick with the rest: it looks idle. It
+   * is used where the others are busier by as much, so its room is not lost and no trial is needed. Harm:
+   * a class that is lost everywhere by its own fault is spread by chance losses instead of by counts.
    */
   double count(Fleet.Host h, Attempts.ClassState type, double now) {
     return h.inFlight - fleet.lost(h, type, now) + charge(h, now)
@@ -113,8 +111,7 @@
   }
 
   private void eject(Fleet.Host h, double now) {
-    // Guards against a fault that many hosts show at once, or that lies on the way to them: to
-    // leave them all out would bury the rest. It does harm where most hosts really are of no use.
+    // Guards against a fault that many hosts show at once: to leave them all out would bury the rest.
     long out = fleet.ready().stream().filter(o -> o.halfOpen && o != h).count();
     if (out >= Tuning.EJECT_PART * fleet.ready().size()) {
       return;
--- a/src/main/java/rillyard/operator/Operations.java
+++ b/src/main/java/rillyard/operator/Operations.java
@@ -1,6 +1,7 @@
 package rillyard.operator;
 
-import java.io.IOException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
 
 /** What people on call and their tools may ask of a running proxy; called on the server's thread. */
 public interface Operations {
@@ -13,16 +14,16 @@
   /**
    * Takes a host out.
    *
-   * @return whether such a host is known
-   * @throws IOException if this could not be carried out or kept
+   * @param files where files are touched
+   * @return whether such a host is known, once it is out; fails if this could not be done or kept
    */
-  boolean detach(String host) throws IOException;
+  CompletionStage<Boolean> detach(String host, Executor files);
 
   /**
    * Gives a host back.
    *
-   * @return whether such a host is known
-   * @throws IOException if this could not be carried out or kept
+   * @param files where files are touched
+   * @return whether such a host is known, once it may serve; fails if this could not be done or kept
    */
-  boolean attach(String host) throws IOException;
+  CompletionStage<Boolean> attach(String host, Executor files);
 }
--- a/src/main/java/rillyard/operator/OperatorCall.java
+++ b/src/main/java/rillyard/operator/OperatorCall.java
@@ -12,8 +12,10 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
 
 /** One call on the second address: 2xx means yes, 4xx and 5xx no, with a line that says why. */
 final class OperatorCall extends SimpleChannelInboundHandler<FullHttpRequest> {
@@ -29,15 +31,21 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-    Reply reply;
-    try {
-      reply =
-          request.decoderResult().isFailure()
-              ? new Reply(HttpResponseStatus.BAD_REQUEST, "not a request that can be read")
-              : carriedOut(request);
-    } catch (IOException | RuntimeException e) {
-      reply = new Reply(HttpResponseStatus.INTERNAL_SERVER_ERROR, "not done: " + e.getMessage());
-    }
+    CompletionStage<Reply> reply =
+        request.decoderResult().isFailure()
+            ? reply(HttpResponseStatus.BAD_REQUEST, "not a request that can be read\n")
+            : carriedOut(request, ctx.channel().eventLoop());
+    reply.whenComplete(
+        (r, failure) ->
+            answer(
+                ctx,
+                failure == null
+                    ? r
+                    : new Reply(
+                        HttpResponseStatus.INTERNAL_SERVER_ERROR, "not done: " + failure + "\n")));
+  }
+
+  private static void answer(ChannelHandlerContext ctx, Reply reply) {
     ByteBuf body = Unpooled.copiedBuffer(reply.text(), StandardCharsets.UTF_8);
     DefaultFullHttpResponse r =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, reply.status(), body);
@@ -48,38 +56,45 @@
     ctx.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
   }
 
-  private Reply carriedOut(FullHttpRequest request) throws IOException {
+  private static CompletionStage<Reply> reply(HttpResponseStatus status, String why) {
+    return CompletableFuture.completedFuture(new Reply(status, why));
+  }
+
+  private CompletionStage<Reply> carriedOut(FullHttpRequest request, Executor files) {
     String path = request.uri();
     boolean post = path.startsWith("/_hosts/");
     if (!path.equals("/_ready")
         && !path.equals("/_vars")
         && !path.equals("/_hosts/detach")
         && !path.equals("/_hosts/attach")) {
-      return new Reply(HttpResponseStatus.NOT_FOUND, "no such call: " + path + "\n");
+      return reply(HttpResponseStatus.NOT_FOUND, "no such call: " + path + "\n");
     }
     if (!request.method().equals(post ? HttpMethod.POST : HttpMethod.GET)) {
-      return new Reply(
+      return reply(
           HttpResponseStatus.METHOD_NOT_ALLOWED, path + " is called by " + (post ? "POST" : "GET") + "\n");
     }
     if (path.equals("/_ready")) {
       return operations.ready()
-          ? new Reply(HttpResponseStatus.OK, "ready\n")
-          : new Reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n");
+          ? reply(HttpResponseStatus.OK, "ready\n")
+          : reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n");
     }
     if (path.equals("/_vars")) {
-      return new Reply(HttpResponseStatus.OK, operations.figures().text());
+      return reply(HttpResponseStatus.OK, operations.figures().text());
     }
     String host = request.content().toString(StandardCharsets.UTF_8).strip();
     if (host.isEmpty() || host.length() > MAX_NAME) {
-      return new Reply(
+      return reply(
           HttpResponseStatus.BAD_REQUEST,
           "the body is to be the id of one host, 1 to " + MAX_NAME + " characters\n");
     }
     boolean out = path.endsWith("/detach");
-    boolean known = out ? operations.detach(host) : operations.attach(host);
-    return known
-        ? new Reply(HttpResponseStatus.OK, host + (out ? " is out\n" : " may serve again\n"))
-        : new Reply(HttpResponseStatus.NOT_FOUND, "no host of the id " + host + "\n");
+    return (out ? operations.detach(host, files) : operations.attach(host, files))
+        .thenApply(
+            known ->
+                known
+                    ? new Reply(
+                        HttpResponseStatus.OK, host + (out ? " is out\n" : " may serve again\n"))
+                    : new Reply(HttpResponseStatus.NOT_FOUND, "no host of the id " + host + "\n"));
   }
 
   @Override
--- a/src/main/java/rillyard/proxy/Attempt.java
+++ b/src/main/java/rillyard/proxy/Attempt.java
@@ -54,6 +54,11 @@
     return exchange.writeTo(channel);
   }
 
+  @Override
+  void writtenWhole() {
+    dispatcher.figures().attemptWritten();
+  }
+
   @Override
   void notSent() {
     finish(Result.CONNECT_FAILED);
--- a/src/main/java/rillyard/proxy/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/ClientConnection.java
@@ -32,6 +32,7 @@
 import java.util.concurrent.TimeUnit;
 import rillyard.balancer.Arrival;
 import rillyard.balancer.Settings;
+import rillyard.operator.Figures;
 
 /** A connection of the application's: reads its requests one by one and writes their answers. */
 final class ClientConnection extends ChannelInboundHandlerAdapter implements Sockets.Idle {
@@ -348,6 +349,7 @@
    */
   private void refuseForMemory() {
     front.refusedForMemory();
+    front.dispatcher().figures().ended(type, Figures.End.REJECTED);
     reject(503);
   }
 
@@ -387,6 +389,7 @@
     Dispatcher d = front.dispatcher();
     if (overflow || d.open() >= front.maxOpen()) {
       front.refusedForSockets();
+      d.figures().ended(type, Figures.End.REJECTED);
       free(whole);
       closing |= overflow;
       answer(503, 0);
@@ -401,7 +404,7 @@
       reject(409);
       return;
     }
-    exchange = new Exchange(d.newId(), id, d, this, request, whole, d.now() + budget);
+    exchange = new Exchange(d.newId(), id, type, d, this, request, whole, d.now() + budget);
     if (channel.ended()) {
       // Guards against work for clients that left while the loop was behind: each send would be
       // called off at once, at the price of its connection, and the loop fall further behind.
--- a/src/main/java/rillyard/proxy/Config.java
+++ b/src/main/java/rillyard/proxy/Config.java
@@ -16,7 +16,10 @@
 import rillyard.adapter.SettingsReader;
 import rillyard.balancer.Settings;
 
-/** What the platform tells one client proxy; times are milliseconds. */
+/**
+ * What the platform tells one client proxy; times are milliseconds. {@code operator} is the second
+ * address, null where there is none.
+ */
 record Config(
     String name,
     InetSocketAddress listen,
@@ -28,7 +31,8 @@
     Settings settings,
     double connIdle,
     double connectTimeout,
-    int maxOpen) {
+    int maxOpen,
+    InetSocketAddress operator) {
   /**
    * Reads the file that {@code BALANCER_CONFIG} names. The other variables win over it, but for
    * discovery's address: the file is replaced while the process runs, its environment never is.
@@ -69,7 +73,15 @@
         settings,
         allowed.path("connIdle").asDouble(15_000),
         allowed.path("connectTimeout").asDouble(250),
-        allowed.path("maxOpen").asInt(Integer.MAX_VALUE));
+        allowed.path("maxOpen").asInt(Integer.MAX_VALUE),
+        operator(env, root));
+  }
+
+  /** The second address, null where none is configured. */
+  private static InetSocketAddress operator(Map<String, String> env, JsonNode root)
+      throws ConfigException {
+    String told = told(env, "BALANCER_OPERATOR", root, "operator");
+    return told.isEmpty() ? null : address(told, "operator");
   }
 
   private static String told(Map<String, String> env, String variable, JsonNode root, String key) {
--- a/src/main/java/rillyard/proxy/Dispatcher.java
+++ b/src/main/java/rillyard/proxy/Dispatcher.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,9 @@
 import rillyard.balancer.LoadReport;
 import rillyard.balancer.Result;
 import rillyard.balancer.Settings;
+import rillyard.membership.TakenOut;
+import rillyard.operator.Figures;
+import rillyard.succession.OutFolder;
 
 /**
  * Runs the module on the event loop: hands it one event at a time, in the order in which they
@@ -38,11 +42,14 @@
   private final Upstreams upstreams;
   private final BodyBudget budget;
   private final Hosts hosts;
+  private final TakenOut takenOut = new TakenOut();
+  private final Figures figures;
   private final Balancer balancer;
   private final long startedAt = System.nanoTime();
   private final Map<Long, Exchange> exchanges = new HashMap<>();
   private final RecentIds ids = new RecentIds();
   private final ArrayDeque<Event> events = new ArrayDeque<>();
+  private final double unixOffset;
   private boolean running;
   private long nextId;
   private Runnable follow = () -> {};
@@ -53,7 +60,9 @@
     this.settings = config.settings();
     this.upstreams = upstreams;
     this.budget = budget;
-    this.hosts = new Hosts(System.currentTimeMillis() - now());
+    this.unixOffset = System.currentTimeMillis() - now();
+    this.hosts = new Hosts(unixOffset, takenOut);
+    this.figures = new Figures(settings.classes().stream().map(Settings.RequestClass::name).toList());
     this.balancer = new Balancer(settings, config.seed(), this);
   }
 
@@ -110,7 +119,11 @@
 
   void membership(rillyard.balancer.News kind, Hosts.News news) {
     Set<Host> cut = hosts.apply(news);
-    List<HostEntry> entries = news.entries();
+    tell(kind, hosts.effective(news), cut);
+    hosts.forgetGone();
+  }
+
+  private void tell(rillyard.balancer.News kind, List<HostEntry> entries, Iterable<Host> cut) {
     deliver(null, () -> balancer.onMembership(now(), kind, entries));
     for (Host h : cut) {
       // Guards against a send to a host that drains or has moved while its connection comes up.
@@ -118,7 +131,49 @@
         call.moot();
       }
     }
-    hosts.forgetGone();
+  }
+
+  /** Whether a host of this name is listed, or out by hand. */
+  boolean knows(String name) {
+    return hosts.listed(name) != null || takenOut.contains(name);
+  }
+
+  /** Takes a host out by hand, or gives it back; false if no such host is known. */
+  boolean byHand(String name, boolean out) {
+    if (!knows(name)) {
+      return false;
+    }
+    if (out ? takenOut.takeOut(name) : takenOut.giveBack(name, now())) {
+      changedByHand(Set.of(name));
+    }
+    return true;
+  }
+
+  /** Takes over what another process of this proxy did by hand; times are Unix time (ms). */
+  void byHand(OutFolder.State elsewhere) {
+    Map<String, Double> back = new HashMap<>();
+    elsewhere.back().forEach((name, at) -> back.put(name, at - unixOffset));
+    changedByHand(takenOut.adopt(elsewhere.out(), back));
+  }
+
+  private void changedByHand(Set<String> names) {
+    List<HostEntry> entries = new ArrayList<>();
+    List<Host> cut = new ArrayList<>();
+    for (String name : names) {
+      log.line(() -> name + (takenOut.contains(name) ? " is out by hand" : " is back by hand"));
+      Host h = hosts.listed(name);
+      if (h != null) {
+        entries.add(hosts.changedByHand(h));
+        cut.add(h);
+      }
+    }
+    if (!entries.isEmpty()) {
+      tell(rillyard.balancer.News.DELTA, entries, cut);
+    }
+  }
+
+  Figures figures() {
+    return figures;
   }
 
   void followFailed() {
@@ -182,6 +237,7 @@
   void sweep() {
     upstreams.sweep(hosts.all());
     hosts.forgetGone();
+    figures.members(hosts.listedCount(), balancer.avoided());
   }
 
   // --- actions
--- a/src/main/java/rillyard/proxy/Exchange.java
+++ b/src/main/java/rillyard/proxy/Exchange.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import rillyard.balancer.LoadReport;
 import rillyard.balancer.Result;
+import rillyard.operator.Figures;
 
 /**
  * One client request, from its last byte on. The only place that gives a final answer, and it
@@ -29,6 +30,7 @@
 
   final long id;
   final String name;
+  private final String type;
   private final Dispatcher dispatcher;
   private final ClientConnection client;
   private final HttpRequest head;
@@ -42,6 +44,7 @@
   Exchange(
       long id,
       String name,
+      String type,
       Dispatcher dispatcher,
       ClientConnection client,
       HttpRequest head,
@@ -49,11 +52,13 @@
       double deadlineAt) {
     this.id = id;
     this.name = name;
+    this.type = type;
     this.dispatcher = dispatcher;
     this.client = client;
     this.head = head;
     this.body = body;
     this.deadlineAt = deadlineAt;
+    dispatcher.figures().pending(1);
     Headers.dropHopByHop(head.headers());
     if (body != null) {
       head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size());
@@ -118,14 +123,14 @@
   // --- the one final answer
 
   void refuse(double coolDown) {
-    if (answer()) {
+    if (answer(Figures.End.REJECTED)) {
       client.answer(503, coolDown);
       forgetIfDone();
     }
   }
 
   void fail() {
-    if (answer()) {
+    if (answer(Figures.End.FAILED)) {
       client.answer(dispatcher.now() >= deadlineAt ? 504 : 502, 0);
       forgetIfDone();
     }
@@ -140,21 +145,27 @@
   }
 
   void served(HttpResponse reply, Body whole) {
-    if (answer()) {
+    if (answer(Figures.End.COMPLETED)) {
       client.answer(reply, whole);
     } else if (whole != null) {
       whole.free();
     }
   }
 
-  private boolean answer() {
+  private boolean answer(Figures.End how) {
     if (answered) {
       return false;
     }
-    answered = true;
+    over();
+    dispatcher.figures().ended(type, how);
     return true;
   }
 
+  private void over() {
+    answered = true;
+    dispatcher.figures().pending(-1);
+  }
+
   // --- ends
 
   /** The client has gone before its answer. */
@@ -162,14 +173,14 @@
     if (answered) {
       return;
     }
-    answered = true;
+    over();
     dispatcher.clientGone(this);
     forgetIfDone();
   }
 
   /** The client has gone before anything was begun. */
   void dropUnsent() {
-    answered = true;
+    over();
     forgetIfDone();
   }
 
--- a/src/main/java/rillyard/proxy/Front.java
+++ b/src/main/java/rillyard/proxy/Front.java
@@ -5,7 +5,9 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.StandardSocketOptions;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -24,9 +26,10 @@
   private final int maxOpen;
   private final Map<String, Settings.RequestClass> types = new HashMap<>();
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
-  private Channel listener;
+  private volatile QuietChannel.Server listener;
   private boolean draining;
   private volatile boolean warming;
+  private volatile boolean readyAsOfLate;
   private long refusedForMemory;
   private long refusedForSockets;
 
@@ -41,27 +44,40 @@
     }
   }
 
-  /** Listens; throws what the bind throws. */
+  /**
+   * Listens; throws what the bind throws. Where there is a second address this process may be replaced,
+   * and its successor listens on the same one. Not so elsewhere: guards against two proxies that are
+   * told the same address by mistake.
+   */
   void listen(EventLoopGroup loop, Config config) throws Exception {
-    listener =
-        new ServerBootstrap()
-            .group(loop)
-            .channelFactory(QuietChannel.Server::new)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Upstreams.READS)
-            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Upstreams.MARKS)
-            .childHandler(
-                new ChannelInitializer<QuietChannel>() {
-                  @Override
-                  protected void initChannel(QuietChannel ch) {
-                    accepted(ch);
-                  }
-                })
-            .bind(config.listen())
-            .sync()
-            .channel();
+    ServerBootstrap bootstrap = new ServerBootstrap();
+    if (config.operator() != null) {
+      bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+    }
+    bootstrap
+        .group(loop)
+        .channelFactory(QuietChannel.Server::new)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, Upstreams.READS)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Upstreams.MARKS)
+        .handler(
+            new ChannelInitializer<QuietChannel.Server>() {
+              @Override
+              protected void initChannel(QuietChannel.Server ch) {
+                listener = ch; // before the first accept, which may come ahead of the bind's end
+              }
+            })
+        .childHandler(
+            new ChannelInitializer<QuietChannel>() {
+              @Override
+              protected void initChannel(QuietChannel ch) {
+                accepted(ch);
+              }
+            })
+        .bind(config.listen())
+        .sync();
   }
 
   Channel listener() {
@@ -95,9 +111,19 @@
     }
   }
 
+  /**
+   * A successor listens: takes what has been let in and lets nobody in any more. The close follows
+   * the last accept at once: guards against connections that the kernel let in between the two.
+   */
+  void closeListener() {
+    listener.acceptRest();
+    listener.close();
+  }
+
   /** The client proxy goes: answers tell clients to move off, and idle connections are closed. */
   void drain() {
     draining = true;
+    readyAsOfLate = false;
     for (ClientConnection c : new ArrayList<>(connections)) {
       if (!c.busy()) {
         c.closeIdle();
@@ -105,6 +131,12 @@
     }
   }
 
+  /** Answers from now on tell clients to move off; connections that are idle stay for that. */
+  void moveOff() {
+    draining = true;
+    readyAsOfLate = false;
+  }
+
   int open() {
     return connections.size();
   }
@@ -133,7 +165,13 @@
     return !draining && !warming && dispatcher.hosts().anySendable();
   }
 
+  /** As {@link #ready}, as of the last moment in which the loop had time; for other threads. */
+  boolean readyAsOfLate() {
+    return readyAsOfLate;
+  }
+
   void sweep() {
+    readyAsOfLate = ready();
     long now = System.nanoTime();
     for (ClientConnection c : new ArrayList<>(connections)) {
       c.sweep(now);
--- a/src/main/java/rillyard/proxy/Host.java
+++ b/src/main/java/rillyard/proxy/Host.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import rillyard.balancer.HostEntry;
 
 /** A host as the sockets see it: where it listens, whether it may get work, its connections. */
 final class Host {
@@ -12,6 +13,10 @@
   InetSocketAddress address;
   boolean sendable;
   boolean listed;
+
+  /** What discovery last said of it, whatever operators did. */
+  HostEntry told;
+
   final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>(2);
   final Set<UpstreamCall> connecting = new LinkedHashSet<>(2);
   int calls;
--- a/src/main/java/rillyard/proxy/Hosts.java
+++ b/src/main/java/rillyard/proxy/Hosts.java
@@ -10,26 +10,24 @@
 import java.util.Map;
 import java.util.Set;
 import rillyard.balancer.HostEntry;
+import rillyard.membership.TakenOut;
 
 /** The hosts that discovery has named, and the numbers by which the module knows them. */
 final class Hosts {
   /** One list of discovery's, checked whole before anything of it is applied. */
-  record News(long version, boolean full, List<Listed> hosts) {
-    /** The entries as the module takes them. */
-    List<HostEntry> entries() {
-      return hosts.stream().map(Listed::entry).toList();
-    }
-  }
+  record News(long version, boolean full, List<Listed> hosts) {}
 
   /** One entry; an address may be absent where nothing is sent to it. */
   record Listed(String name, InetSocketAddress address, HostEntry entry) {}
 
   private final Map<String, Host> byName = new HashMap<>();
   private final Map<Long, Host> byId = new HashMap<>();
+  private final TakenOut out;
   private final double unixOffset;
 
   /** {@code unixOffset} is Unix time less the module's clock. */
-  Hosts(double unixOffset) {
+  Hosts(double unixOffset, TakenOut out) {
+    this.out = out;
     this.unixOffset = unixOffset;
   }
 
@@ -102,7 +100,8 @@
       }
       named.add(h);
       h.listed = e.condition() != HostEntry.Condition.GONE;
-      h.sendable = e.condition() == HostEntry.Condition.READY;
+      h.told = e;
+      h.sendable = effective(h).condition() == HostEntry.Condition.READY;
       if (!h.sendable || !p.address().equals(h.address)) {
         cut.add(h);
       }
@@ -122,9 +121,49 @@
     return cut;
   }
 
+  /** The entries of a list as the module is to have them. */
+  List<HostEntry> effective(News news) {
+    return news.hosts().stream().map(l -> out.effective(l.name(), l.entry())).toList();
+  }
+
+  private HostEntry effective(Host h) {
+    return out.effective(h.name, h.told);
+  }
+
+  /** A listed host of this name, or null. */
+  Host listed(String name) {
+    Host h = byName.get(name);
+    return h != null && h.listed ? h : null;
+  }
+
+  /** What operators did to a listed host has changed; returns what the module is to be told. */
+  HostEntry changedByHand(Host h) {
+    HostEntry e = effective(h);
+    h.sendable = e.condition() == HostEntry.Condition.READY;
+    return e;
+  }
+
+  /** How many hosts are listed. */
+  int listedCount() {
+    int n = 0;
+    for (Host h : byId.values()) {
+      n += h.listed ? 1 : 0;
+    }
+    return n;
+  }
+
   /** Guards against a fleet that churns for ever: a host that is gone and carries nothing is freed. */
   void forgetGone() {
-    byId.values().removeIf(h -> !h.listed && h.calls == 0 && byName.remove(h.name) != null);
+    byId.values()
+        .removeIf(
+            h -> {
+              boolean gone = !h.listed && h.calls == 0;
+              if (gone) {
+                byName.remove(h.name);
+                out.forget(h.name);
+              }
+              return gone;
+            });
   }
 
   /**
--- a/src/main/java/rillyard/proxy/Proxy.java
+++ b/src/main/java/rillyard/proxy/Proxy.java
@@ -6,6 +6,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.IOException;
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
@@ -25,6 +26,9 @@
   /** After SIGTERM new connections come for 0.4 s at most; they are accepted for longer (ms). */
   private static final long ACCEPT_MS = 800;
 
+  /** How long (ms) clients' idle connections stay open for a request that tells them to move. */
+  private static final long MOVE_MS = 400;
+
   /** SIGKILL comes no sooner than the longest deadline and 0.7 s; a margin is kept (ms). */
   private static final long LAST_MS = 600;
 
@@ -41,6 +45,8 @@
   private final Discovery discovery;
   private final CountDownLatch ended = new CountDownLatch(1);
   private final Log log;
+  private volatile Operator operator;
+  private InetSocketAddress operatorAddress;
   private long drainUntil;
   private long acceptUntil;
 
@@ -99,7 +105,14 @@
                 "drain"));
     StartMarks.at("loop");
     p.front.warming(true);
-    p.start();
+    p.operate(env);
+    p.watch();
+    // Guards against requests that meet cold code while a process that is warm takes them all. One
+    // that has nobody before it listens at once: a slow answer is better than none.
+    boolean follows = p.hasPredecessor();
+    if (!follows) {
+      p.listen();
+    }
     StartMarks.at("listening");
     Reload.onHangUp(env, p, p.log);
     StartMarks.at("warm-up");
@@ -108,24 +121,76 @@
     } catch (Exception e) {
       p.log.failure("the warm-up failed", e); // a cold proxy serves too
     }
-    p.front.warming(false);
+    if (follows) {
+      p.listen();
+    }
+    p.ready();
     StartMarks.at("ready");
     return p;
   }
 
   /** Listens and starts the watch. */
   void start() throws ConfigException {
+    watch();
+    listen();
+  }
+
+  private void watch() throws ConfigException {
     try {
       loop.submit(() -> discovery.start(config.known())).sync();
+    } catch (Exception e) {
+      group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+      throw new ConfigException("can't start: " + e);
+    }
+    loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void listen() throws ConfigException {
+    try {
       front.listen(group, config);
     } catch (Exception e) {
       group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
       if (e instanceof BindException || e instanceof SocketException) {
         throw new ConfigException("can't listen on " + config.listen() + ": " + e.getMessage());
       }
-      throw new ConfigException("can't start: " + e);
+      throw new ConfigException("can't listen: " + e);
+    }
+  }
+
+  /** Opens the second address, where one is configured. */
+  void operate(Map<String, String> env) throws ConfigException {
+    if (config.operator() == null) {
+      return;
+    }
+    try {
+      Operator o = new Operator(Operator.folder(env, config), loop, front, dispatcher, log);
+      operatorAddress = o.start(config.operator());
+      operator = o;
+    } catch (Exception e) {
+      throw new ConfigException("can't listen for operators on " + config.operator() + ": " + e);
     }
-    loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private boolean hasPredecessor() {
+    return operator != null && operator.hasPredecessor();
+  }
+
+  /** It is as ready as it gets: says so, to whom it concerns. */
+  void ready() {
+    front.warming(false);
+    loop.execute(this::sweep);
+    try {
+      if (operator != null) {
+        operator.serving();
+      }
+    } catch (IOException e) {
+      log.failure("a process before this one can't be told", e);
+    }
+  }
+
+  /** The second address, null where there is none. */
+  InetSocketAddress operatorAddress() {
+    return operatorAddress;
   }
 
   InetSocketAddress address() {
@@ -166,10 +231,16 @@
             longest = Math.max(longest, c.deadline());
           }
           long now = System.nanoTime();
-          acceptUntil = now + ACCEPT_MS * 1_000_000;
+          boolean succeeded = operator != null && operator.hasSuccessor();
+          acceptUntil = now + (succeeded ? MOVE_MS : ACCEPT_MS) * 1_000_000;
           drainUntil = now + (long) ((longest + LAST_MS) * 1e6);
-          log.line("draining");
-          front.drain();
+          log.line(succeeded ? "draining: a successor serves" : "draining");
+          if (succeeded) {
+            front.closeListener();
+            front.moveOff();
+          } else {
+            front.drain();
+          }
           pollDrain();
         });
   }
@@ -203,6 +274,13 @@
 
   /** Ends the loop at once. */
   void stop() {
+    try {
+      if (operator != null) {
+        operator.close();
+      }
+    } catch (IOException e) {
+      log.failure("the second address did not close", e);
+    }
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
     ended.countDown();
   }
--- a/src/main/java/rillyard/proxy/QuietChannel.java
+++ b/src/main/java/rillyard/proxy/QuietChannel.java
@@ -23,6 +23,19 @@
       accepted.add(new QuietChannel(this, ch));
       return 1;
     }
+
+    /** Accepts all that waits; on the loop. */
+    void acceptRest() {
+      try {
+        SocketChannel ch;
+        while ((ch = javaChannel().accept()) != null) {
+          pipeline().fireChannelRead(new QuietChannel(this, ch));
+        }
+      } catch (IOException e) {
+        // out of descriptors, or closed: what waits can't be had
+      }
+      pipeline().fireChannelReadComplete();
+    }
   }
 
   private final ByteBuffer one = ByteBuffer.allocate(1);
--- a/src/main/java/rillyard/proxy/Rehearsal.java
+++ b/src/main/java/rillyard/proxy/Rehearsal.java
@@ -1,9 +1,14 @@
 package rillyard.proxy;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /**
  * A start and a warm-up with nobody there. The build runs it to archive the classes that a proxy
@@ -15,7 +20,7 @@
 
   private static final String CONFIG =
       """
-      {"name":"rehearsal","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
+      {"name":"rehearsal","listen":"127.0.0.1:0","operator":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
        "limits":{"cores":1.0,"memory_mb":128,"sockets":1024},
        "known":{"version":1,"full":true,"servers":[
         {"id":"a","addr":"127.0.0.1:1","zone":"z","state":"up"}]},
@@ -32,14 +37,33 @@
 
   private Rehearsal() {}
 
+  private static void call(InetSocketAddress to, String what, String body) throws IOException {
+    try (Socket s = new Socket(to.getAddress(), to.getPort())) {
+      String request =
+          what + " HTTP/1.1\r\nHost: operator\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+      s.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      s.getInputStream().readAllBytes();
+    }
+  }
+
   /** Runs one from its start to its drain, and ends the process. */
   public static void run() throws IOException, ConfigException {
-    Path file = Files.createTempFile("rehearsal", ".json");
+    Path folder = Files.createTempDirectory("rehearsal");
     try {
-      Files.writeString(file, CONFIG);
-      Proxy.begin(Map.of("BALANCER_CONFIG", file.toString()), MOST_MS);
+      Path file = Files.writeString(folder.resolve("config.json"), CONFIG);
+      Map<String, String> env =
+          Map.of("BALANCER_CONFIG", file.toString(), "TMPDIR", folder.toString());
+      InetSocketAddress operator = Proxy.begin(env, MOST_MS).operatorAddress();
+      call(operator, "GET /_ready", "");
+      call(operator, "GET /_vars", "");
+      call(operator, "POST /_hosts/detach", "a");
+      call(operator, "POST /_hosts/attach", "a");
     } finally {
-      Files.delete(file);
+      try (Stream<Path> all = Files.walk(folder)) {
+        for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
+          Files.delete(p);
+        }
+      }
     }
     System.exit(0); // as SIGTERM would end it: what a drain loads is of use too
   }
--- a/src/main/java/rillyard/proxy/UpstreamCall.java
+++ b/src/main/java/rillyard/proxy/UpstreamCall.java
@@ -19,6 +19,9 @@
   /** Writes all of it; the future is that of the last byte. */
   abstract ChannelFuture write(Channel channel);
 
+  /** The last byte has gone out. */
+  abstract void writtenWhole();
+
   /** The last byte has not gone out: there was no connection, or it went away before. */
   abstract void notSent();
 
--- a/src/main/java/rillyard/proxy/UpstreamConnection.java
+++ b/src/main/java/rillyard/proxy/UpstreamConnection.java
@@ -136,6 +136,7 @@
               if (call == next) {
                 if (f.isSuccess()) {
                   written = true;
+                  next.writtenWhole();
                 } else {
                   lost();
                 }
--- a/src/main/java/rillyard/proxy/WarmUp.java
+++ b/src/main/java/rillyard/proxy/WarmUp.java
@@ -128,7 +128,8 @@
         config.settings(),
         config.connIdle(),
         config.connectTimeout(),
-        config.maxOpen());
+        config.maxOpen(),
+        null);
   }
 
   private interface Part {
--- /dev/null
+++ b/src/main/java/rillyard/succession/Succession.java
@@ -0,0 +1,94 @@
+package rillyard.succession;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+
+/**
+ * The order among processes of one proxy that run beside each other. The one in charge holds a lock
+ * on {@code serving}; the one that follows holds one on {@code next} once it listens, until the
+ * first has ended. The kernel drops locks with their process, so none is left by one that was
+ * killed. Not safe for use from several threads at once.
+ */
+public final class Succession implements Closeable {
+  private final FileChannel serving;
+  private final FileChannel next;
+  private FileLock inCharge;
+  private FileLock following;
+
+  /**
+   * Joins at the end of the line.
+   *
+   * @param folder where the processes meet, made if it isn't there
+   * @throws IOException if the folder can't be used
+   */
+  public Succession(Path folder) throws IOException {
+    Files.createDirectories(folder);
+    serving = open(folder.resolve("serving"));
+    next = open(folder.resolve("next"));
+    inCharge = lock(serving);
+  }
+
+  private static FileChannel open(Path file) throws IOException {
+    return FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+  }
+
+  private static FileLock lock(FileChannel file) throws IOException {
+    try {
+      return file.tryLock();
+    } catch (OverlappingFileLockException e) {
+      return null; // held within this very process, as in tests
+    }
+  }
+
+  /** Whether no other process is in charge. */
+  public boolean inCharge() {
+    return inCharge != null;
+  }
+
+  /**
+   * This process listens: the one in charge may go at any time from now on. Called again and again it
+   * takes charge once that one has gone.
+   *
+   * @throws IOException if the files can't be locked
+   */
+  public void follow() throws IOException {
+    if (inCharge == null) {
+      inCharge = lock(serving);
+    }
+    if (inCharge == null && following == null) {
+      following = lock(next);
+    } else if (inCharge != null && following != null) {
+      following.release();
+      following = null;
+    }
+  }
+
+  /**
+   * Whether another process listens that follows this one.
+   *
+   * @throws IOException if the file can't be locked
+   */
+  public boolean followed() throws IOException {
+    if (following != null) {
+      return false;
+    }
+    FileLock free = lock(next);
+    if (free == null) {
+      return true;
+    }
+    free.release();
+    return false;
+  }
+
+  @Override
+  public void close() throws IOException {
+    serving.close();
+    next.close();
+  }
+}
