Bodies of up to 32 MB are passed on as they come, both ways, within fixed memory

Answers past 64 KiB are now passed on from their first byte, requests past 64 KiB follow their head to the host, with back pressure both ways; time runs from a request's last byte, for the module too. A head may take 2.3 s instead of 1.9. Targets in absolute form go on in origin form.

--- a/src/main/java/rillyard/proxy/Attempt.java
+++ b/src/main/java/rillyard/proxy/Attempt.java
@@ -1,5 +1,6 @@
 package rillyard.proxy;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.HttpContent;
@@ -12,10 +13,21 @@
 
 /** One send of a request to a host; it ends with exactly one outcome. */
 final class Attempt extends UpstreamCall {
+  /** A host may pause for so long (ns) within an answer that is passed on. */
+  private static final long STREAM_STALL_NANOS = 10_000_000_000L;
+
+  /**
+   * Bytes and time (ms) for which an answer of untold length is held in the hope of its end. Of one
+   * that is long the first bytes count, and hosts may give them slowly.
+   */
+  private static final long UNTOLD_HELD = 32 * 1024;
+
+  private static final double UNTOLD_MS = 30;
+
   private final Exchange exchange;
   private final Dispatcher dispatcher;
   private final int number;
-  private final double sentAt;
+  private double sentAt;
   private final Runnable resume = this::resumeReading;
   private Future<?> giveUp;
   private LoadReport report;
@@ -24,6 +36,8 @@
   private long length;
   private long passed;
   private boolean over;
+  private boolean streams;
+  private double headAt;
 
   Attempt(Exchange exchange, Dispatcher dispatcher, Host host, int number, double sentAt) {
     super(host);
@@ -57,6 +71,19 @@
   @Override
   void writtenWhole() {
     dispatcher.figures().attemptWritten();
+    if (exchange.passesOn()) {
+      sentAt = dispatcher.now(); // a host begins with the last byte
+    }
+  }
+
+  @Override
+  void writable() {
+    exchange.hostTakesMore();
+  }
+
+  @Override
+  long stallNanos() {
+    return streams ? STREAM_STALL_NANOS : STALL_NANOS;
   }
 
   @Override
@@ -96,6 +123,11 @@
               && !HttpUtil.isTransferEncodingChunked(reply)
               && HttpUtil.isKeepAlive(reply))) {
         broken();
+        return;
+      }
+      headAt = dispatcher.now();
+      if (length > Body.HELD) {
+        stream();
       }
       return;
     }
@@ -113,13 +145,21 @@
       broken(); // larger than any answer may be
       return;
     }
-    if (n > 0) {
+    if (streams) {
+      pass(part.content().retain());
+    } else if (n > 0) {
       if (body == null) {
         body = dispatcher.newBody(length, false);
       }
       body.append(part.content());
+      if (body.size() > Body.HELD
+          || (length < 0
+              && (body.size() > UNTOLD_HELD || dispatcher.now() - headAt > UNTOLD_MS))) {
+        stream();
+        return;
+      }
       if (dispatcher.budget().full(body.size())) {
-        connection().channel().config().setAutoRead(false);
+        connection().pauseReading();
         dispatcher.budget().await(resume);
       }
     }
@@ -128,12 +168,59 @@
   /** Memory is free again. */
   void resumeReading() {
     if (!over && connection() != null) {
-      connection().channel().config().setAutoRead(true);
+      connection().resumeReading();
+    }
+  }
+
+  // --- answers that are passed on as they come
+
+  /**
+   * From here on the answer is this one: the module hears that the host has answered, and what is
+   * left is between the client and this host. A reader that takes its time is no queue of the host's.
+   */
+  private void stream() {
+    if (!exchange.beginStream(this, head, length)) {
+      finish(Result.OK); // answered otherwise
+      return;
     }
+    streams = true;
+    over = true;
+    if (giveUp != null) {
+      giveUp.cancel(false);
+    }
+    dispatcher.budget().forget(resume);
+    if (body != null) {
+      Body first = body;
+      body = null;
+      first.retained().forEach(this::pass);
+      first.free();
+    }
+    exchange.attemptEnded(this, Result.OK, dispatcher.now() - sentAt, report);
+  }
+
+  private void pass(ByteBuf bytes) {
+    if (!exchange.pass(bytes)) {
+      connection().pauseReading();
+    }
+  }
+
+  /** The client takes more. */
+  void resumeStream() {
+    connection().resumeReading();
+  }
+
+  /** Nobody wants the rest of the stream. */
+  void abandonStream() {
+    dispatcher.upstreams().end(this);
   }
 
   @Override
   void end() {
+    if (streams) {
+      dispatcher.upstreams().end(this);
+      exchange.streamEnded(true);
+      return;
+    }
     Body whole = body;
     body = null;
     exchange.served(head, whole);
@@ -142,6 +229,12 @@
 
   @Override
   void broken() {
+    if (streams) {
+      dispatcher.log().line(() -> describe(Result.RESET));
+      dispatcher.upstreams().end(this);
+      exchange.streamEnded(false);
+      return;
+    }
     finish(Result.RESET);
   }
 
--- a/src/main/java/rillyard/proxy/Body.java
+++ b/src/main/java/rillyard/proxy/Body.java
@@ -11,7 +11,10 @@
  */
 final class Body {
   /** The most that the protocol lets a body hold. */
-  static final long MAX = 64 * 1024;
+  static final long MAX = 32 << 20;
+
+  /** The most of a body that is held whole; a longer one is passed on as it comes. */
+  static final long HELD = 64 * 1024;
 
   private static final int BLOCK = 64 * 1024;
   private static final int FIRST = 512;
--- a/src/main/java/rillyard/proxy/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/ClientConnection.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -39,6 +41,7 @@
   /** Tells whether part of a request has come. */
   static final class Decoder extends HttpRequestDecoder {
     private boolean receiving;
+    private long readAt;
 
     private boolean deaf;
     private int discarded;
@@ -50,6 +53,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) throws Exception {
       receiving = true;
+      readAt = System.nanoTime();
       if (deaf) {
         // Guards against the work of taking apart, at full speed, what nobody will look at.
         discarded += ((ByteBuf) msg).readableBytes();
@@ -79,8 +83,17 @@
   /** Longest run of digits in a deadline, for it to be at most {@link #MAX_TIMEOUT_MS}. */
   private static final int TIMEOUT_DIGITS = 6;
 
-  /** How long (ns) a request may take to come whole. */
-  private static final long SLOW_NANOS = 1_900_000_000L;
+  /** How long (ns) a head may take, of which clients are allowed 2 s. */
+  private static final long SLOW_NANOS = 2_300_000_000L;
+
+  /** How long (ns) a request may take to come whole besides what its bytes take at the least rate. */
+  private static final long BODY_NANOS = 6_000_000_000L;
+
+  /** Bytes a second; clients take and give bodies at 64 kB a second. */
+  private static final double LEAST_RATE = 8_192;
+
+  /** How long (ns) a body that has begun may bring nothing. */
+  private static final long SILENT_NANOS = 2_200_000_000L;
 
   /**
    * How long (ns) a connection may stand with no request on it. Clients may count on 2 s; those that
@@ -110,10 +123,14 @@
   private final ArrayDeque<HttpObject> ahead = new ArrayDeque<>(0);
   private HttpRequest head;
   private Body body;
+  private long received;
   private boolean health;
   private double timeout;
   private String type;
   private Exchange exchange;
+  private Upload upload;
+  private boolean skipping;
+  private long blockedSince;
   private boolean closing;
   private boolean rejected;
   private boolean paused;
@@ -167,7 +184,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object msg) {
-    if (exchange != null && !rejected) {
+    if (exchange != null && upload == null && !rejected) {
       // Sent ahead of its time: it waits for the answer before it, and nothing more is read.
       ahead.add((HttpObject) msg);
       channel.config().setAutoRead(false);
@@ -192,6 +209,12 @@
               : cause instanceof TooLongHttpHeaderException ? 431 : 400);
       return;
     }
+    if (skipping) {
+      if (part instanceof LastHttpContent) {
+        skipped();
+      }
+      return;
+    }
     if (part instanceof HttpRequest request) {
       begin(request);
     }
@@ -201,16 +224,34 @@
         append(bytes);
       }
       if (part instanceof LastHttpContent && !rejected) {
-        complete();
+        if (skipping) {
+          skipped();
+        } else {
+          complete();
+        }
       }
     }
   }
 
+  /** All has come of a request that had its answer before. */
+  private void skipped() {
+    skipping = false;
+    decoder.receiving = decoder.surplus();
+    receivingSince = 0;
+    if (closing) {
+      linger();
+    } else if (!decoder.receiving) {
+      idleAgain();
+    }
+  }
+
   private void begin(HttpRequest request) {
     front.sockets().clientIdle(this, false);
     used = true;
     head = request;
+    received = 0;
     closing = !HttpUtil.isKeepAlive(request);
+    toOriginForm(request);
     health = request.uri().equals("/_health");
     HttpMethod method = request.method();
     if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
@@ -316,15 +357,41 @@
     };
   }
 
+  /** RFC 9112, 3.2.2: a target in absolute form names the host; it goes on in origin form. */
+  private static void toOriginForm(HttpRequest request) {
+    String uri = request.uri();
+    if (uri.regionMatches(true, 0, "http://", 0, 7)) {
+      int path = 7;
+      while (path < uri.length() && uri.charAt(path) != '/' && uri.charAt(path) != '?') {
+        path++;
+      }
+      request.headers().set(HttpHeaderNames.HOST, uri.substring(7, path));
+      String rest = uri.substring(path);
+      request.setUri(rest.startsWith("/") ? rest : "/" + rest);
+    }
+  }
+
   private void append(ByteBuf bytes) {
+    received += bytes.readableBytes();
+    if (received > Body.MAX || (health && received > Body.HELD)) {
+      reject(413);
+      return;
+    }
+    if (upload != null) {
+      upload.take(bytes);
+      if (!upload.wanted()) {
+        channel.config().setAutoRead(false);
+      }
+      return;
+    }
     if (body == null) {
       body = front.dispatcher().newBody(HttpUtil.getContentLength(head, -1L), true);
     }
-    if (body.size() + bytes.readableBytes() > Body.MAX) {
-      reject(413);
+    body.append(bytes);
+    if (body.size() > Body.HELD) {
+      beginUpload();
       return;
     }
-    body.append(bytes);
     if (front.budget().full(body.size())) {
       if (front.budget().stuck()) {
         // Guards against requests that wait for each other's memory: the one at hand gives way.
@@ -368,12 +435,64 @@
     }
   }
 
+  /** A body that is longer than may be held: its request goes to a host, and the rest follows it. */
+  private void beginUpload() {
+    if (paused) {
+      endPause();
+    }
+    Dispatcher d = front.dispatcher();
+    HttpRequest request = head;
+    Body start = body;
+    head = null;
+    body = null;
+    String id = request.headers().get(Headers.REQUEST_ID);
+    if (d.known(id)) {
+      start.free();
+      reject(409);
+      return;
+    }
+    channel.config().setAutoRead(false);
+    upload = new Upload(start, HttpUtil.getContentLength(request, -1L));
+    boolean room = !overflow && d.open() < front.maxOpen();
+    exchange =
+        new Exchange(
+            d.newId(), id, type, d, this, request, null, Double.POSITIVE_INFINITY, timeout, upload);
+    if (room) {
+      d.arrived(exchange, arrival(request.headers(), exchange.id, Double.POSITIVE_INFINITY));
+    } else {
+      front.refusedForSockets();
+      closing |= overflow;
+      exchange.refuse(0);
+    }
+  }
+
+  /** The connection to the host takes more of the body. */
+  void readOn() {
+    channel.config().setAutoRead(true);
+  }
+
+  private Arrival arrival(HttpHeaders h, long id, double budget) {
+    return new Arrival(
+        id,
+        type,
+        h.get(Headers.TENANT),
+        budget,
+        estimate(h.get(Headers.COST)),
+        "1".equals(h.get(Headers.RETRIED)));
+  }
+
   private void complete() {
     decoder.receiving = decoder.surplus();
     if (paused) {
       resumeReading();
     }
     receivingSince = 0;
+    if (upload != null) {
+      upload = null;
+      readOn();
+      exchange.uploaded();
+      return;
+    }
     HttpRequest request = head;
     Body whole = body;
     head = null;
@@ -404,7 +523,7 @@
       reject(409);
       return;
     }
-    exchange = new Exchange(d.newId(), id, type, d, this, request, whole, d.now() + budget);
+    exchange = new Exchange(d.newId(), id, type, d, this, request, whole, d.now() + budget, budget, null);
     if (channel.ended()) {
       // Guards against work for clients that left while the loop was behind: each send would be
       // called off at once, at the price of its connection, and the loop fall further behind.
@@ -414,16 +533,7 @@
       return;
     }
     decoder.receiving |= channel.holding();
-    HttpHeaders h = request.headers();
-    d.arrived(
-        exchange,
-        new Arrival(
-            exchange.id,
-            type,
-            h.get(Headers.TENANT),
-            budget,
-            estimate(h.get(Headers.COST)),
-            "1".equals(h.get(Headers.RETRIED))));
+    d.arrived(exchange, arrival(request.headers(), exchange.id, budget));
   }
 
   /** The work expected, which clients state in microseconds and the module takes in ms. */
@@ -481,6 +591,45 @@
     answered(written);
   }
 
+  /** The head of an answer that is passed on as it comes; {@code length} is -1 where it isn't told. */
+  void beginAnswer(HttpResponse reply, long length) {
+    HttpHeaders h = reply.headers();
+    Headers.dropHopByHop(h);
+    if (length >= 0) {
+      h.set(HttpHeaderNames.CONTENT_LENGTH, length);
+    } else {
+      h.remove(HttpHeaderNames.CONTENT_LENGTH);
+      h.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    }
+    DefaultHttpResponse r = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, h);
+    markClose(r);
+    channel.writeAndFlush(r);
+  }
+
+  /** Part of it; false if the connection takes no more for now. */
+  boolean pass(ByteBuf bytes) {
+    channel.writeAndFlush(new DefaultHttpContent(bytes));
+    return channel.isWritable();
+  }
+
+  void endAnswer() {
+    answered(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+  }
+
+  /** It broke half way: the client sees an end that is none. */
+  void cutAnswer() {
+    exchange = null;
+    channel.close();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    blockedSince = channel.isWritable() ? 0 : System.nanoTime();
+    if (blockedSince == 0 && exchange != null) {
+      exchange.clientTakesMore();
+    }
+  }
+
   private static ByteBuf joined(Body whole) {
     ByteBuf[] blocks = whole.retained().toArray(ByteBuf[]::new);
     return blocks.length == 1 ? blocks[0] : Unpooled.wrappedBuffer(blocks);
@@ -495,7 +644,12 @@
 
   private void answered(ChannelFuture written) {
     exchange = null;
-    if (closing) {
+    if (upload != null && !rejected) {
+      upload = null;
+      skipping = true;
+      channel.config().setAutoRead(true);
+    }
+    if (closing && !skipping) {
       written.addListener(f -> linger());
       return;
     }
@@ -505,12 +659,16 @@
     }
     if (!ahead.isEmpty()) {
       takeAhead();
-    } else if (!decoder.receiving) {
-      idleSince = System.nanoTime();
-      front.sockets().clientIdle(this, true);
+    } else if (!decoder.receiving && !skipping) {
+      idleAgain();
     }
   }
 
+  private void idleAgain() {
+    idleSince = System.nanoTime();
+    front.sockets().clientIdle(this, true);
+  }
+
   private void takeAhead() {
     while (exchange == null && !ahead.isEmpty()) {
       HttpObject part = ahead.poll();
@@ -528,6 +686,12 @@
   /** Answers what can't be a request and ends the connection. */
   private void reject(int status) {
     rejected = true;
+    if (exchange != null) { // its body goes wrong while it is passed on: no host gets the end of it
+      Exchange e = exchange;
+      exchange = null;
+      upload = null;
+      e.clientGone();
+    }
     decoder.deaf = true;
     endPause();
     dropRequest();
@@ -555,7 +719,7 @@
 
   /** Whether it carries a request, or part of one, or an answer that is not written yet. */
   boolean busy() {
-    return exchange != null || decoder.receiving || writingSince != 0 || closing;
+    return exchange != null || skipping || decoder.receiving || writingSince != 0 || closing;
   }
 
   @Override
@@ -571,12 +735,14 @@
     if (decoder.receiving && receivingSince == 0) {
       receivingSince = now;
     }
-    if (!rejected
-        && exchange == null
-        && !paused
-        && receivingSince != 0
-        && now - receivingSince > SLOW_NANOS) {
-      reject(408);
+    if (slow(now)) {
+      if (skipping) {
+        channel.close(); // it has its answer
+      } else {
+        reject(408);
+      }
+    } else if (blockedSince != 0 && exchange != null && now - blockedSince > Exchange.CLIENT_STALL) {
+      channel.close();
     } else if (writingSince != 0 && now - writingSince > Exchange.CLIENT_STALL) {
       channel.close();
     } else if (!busy() && now - idleSince > IDLE_NANOS) {
@@ -585,6 +751,21 @@
     }
   }
 
+  /** Whether what is being received takes too long, by no fault of ours. */
+  private boolean slow(long now) {
+    if (rejected || paused || receivingSince == 0 || !channel.config().isAutoRead()) {
+      return false;
+    }
+    boolean bodyComes = upload != null || skipping || body != null || head != null;
+    if (!bodyComes) {
+      return exchange == null && now - receivingSince > SLOW_NANOS;
+    }
+    // What follows to a host comes as fast as the host takes it; the rest has to come at some rate.
+    long most = BODY_NANOS + (long) (received * 1e9 / LEAST_RATE);
+    return now - decoder.readAt > SILENT_NANOS
+        || (upload == null && !skipping && now - receivingSince > most);
+  }
+
   @Override
   public boolean used() {
     return used;
--- a/src/main/java/rillyard/proxy/Dispatcher.java
+++ b/src/main/java/rillyard/proxy/Dispatcher.java
@@ -191,6 +191,11 @@
     deliver(e, () -> balancer.onOutcome(now(), e.id, number, result, spent, over, report));
   }
 
+  /** A request that was handed over while it came is whole; {@code budget} ms are left for it. */
+  void whole(Exchange e, double budget) {
+    deliver(e, () -> balancer.onWhole(now(), e.id, budget));
+  }
+
   void clientGone(Exchange e) {
     deliver(e, () -> balancer.onClientGone(now(), e.id));
   }
--- a/src/main/java/rillyard/proxy/Exchange.java
+++ b/src/main/java/rillyard/proxy/Exchange.java
@@ -35,10 +35,15 @@
   private final ClientConnection client;
   private final HttpRequest head;
   private final Body body;
-  private final double deadlineAt;
+  private double deadlineAt;
+  private final Upload upload;
+  private final double timeout;
+  private final List<Runnable> whenWhole = new ArrayList<>(0);
+  private Attempt stream;
   private final List<Attempt> attempts = new ArrayList<>(2);
   private final List<Future<?>> timers = new ArrayList<>(2);
   private int open;
+  private boolean mayHaveRun;
   private boolean answered;
 
   Exchange(
@@ -49,7 +54,9 @@
       ClientConnection client,
       HttpRequest head,
       Body body,
-      double deadlineAt) {
+      double deadlineAt,
+      double timeout,
+      Upload upload) {
     this.id = id;
     this.name = name;
     this.type = type;
@@ -58,18 +65,58 @@
     this.head = head;
     this.body = body;
     this.deadlineAt = deadlineAt;
+    this.timeout = timeout;
+    this.upload = upload;
     dispatcher.figures().pending(1);
     Headers.dropHopByHop(head.headers());
     if (body != null) {
       head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size());
     }
     head.headers().remove(HttpHeaderNames.EXPECT);
-    later(deadlineAt - dispatcher.now(), this::timeUp);
+    if (upload == null) {
+      later(deadlineAt - dispatcher.now(), this::timeUp);
+    }
   }
 
-  /** Runs something later unless the request and its attempts are all over by then. */
+  /**
+   * Runs something later unless the request and its attempts are all over by then. The time of a
+   * request that still comes runs from its last byte.
+   */
   void later(double delay, Runnable what) {
-    timers.add(dispatcher.later(delay, what));
+    if (uploads()) {
+      whenWhole.add(() -> later(delay, what));
+    } else {
+      timers.add(dispatcher.later(delay, what));
+    }
+  }
+
+  // --- a body that is passed on as it comes
+
+  /** Whether its last byte has not come yet. */
+  boolean uploads() {
+    return upload != null && !upload.whole();
+  }
+
+  /** Whether its body is passed on as it comes, or was. */
+  boolean passesOn() {
+    return upload != null;
+  }
+
+  void uploaded() {
+    upload.last();
+    deadlineAt = dispatcher.now() + timeout;
+    dispatcher.whole(this, timeout);
+    if (!answered) {
+      later(timeout, this::timeUp);
+      whenWhole.forEach(Runnable::run);
+    }
+    whenWhole.clear();
+  }
+
+  void hostTakesMore() {
+    if (uploads()) {
+      client.readOn();
+    }
   }
 
   boolean answered() {
@@ -84,6 +131,7 @@
     open++;
     if (answered
         || !host.sendable
+        || (upload != null && upload.bound())
         || attempts.size() > dispatcher.maxAttempts()
         || giveUpAfter < 0
         || dispatcher.now() >= deadlineAt) {
@@ -99,7 +147,13 @@
 
   ChannelFuture writeTo(Channel channel) {
     HttpHeaders h = head.headers();
-    h.set(Headers.TIMEOUT_MS, Math.max(1, (long) (deadlineAt - dispatcher.now())));
+    double left = upload == null || upload.whole() ? deadlineAt - dispatcher.now() : timeout;
+    h.set(Headers.TIMEOUT_MS, Math.max(1, (long) left));
+    if (upload != null) {
+      ChannelFuture last = upload.begin(channel, head, h);
+      hostTakesMore();
+      return last;
+    }
     List<ByteBuf> blocks = body == null ? List.of() : body.retained();
     if (blocks.size() <= 1) {
       ByteBuf bytes = blocks.isEmpty() ? Unpooled.EMPTY_BUFFER : blocks.get(0);
@@ -116,6 +170,18 @@
 
   void attemptEnded(Attempt a, Result result, double spent, LoadReport report) {
     open--;
+    if (upload != null && stream != a) {
+      upload.detached(a.connection());
+      mayHaveRun |= !result.neverRan();
+      if (upload.spent() && open == 0 && !answered) {
+        // Nothing is left to send: what never ran is refused, what may have run has failed.
+        if (mayHaveRun) {
+          fail();
+        } else {
+          refuse(0);
+        }
+      }
+    }
     dispatcher.outcome(this, a.number(), result, spent, answered, report);
     forgetIfDone();
   }
@@ -152,6 +218,41 @@
     }
   }
 
+  /** An answer begins that is passed on as it comes; false if there is another one. */
+  boolean beginStream(Attempt a, HttpResponse reply, long length) {
+    if (answered) {
+      return false;
+    }
+    answered = true;
+    stream = a;
+    client.beginAnswer(reply, length);
+    return true;
+  }
+
+  /** Passes part of it on; false if the client takes no more for now. */
+  boolean pass(ByteBuf bytes) {
+    return client.pass(bytes);
+  }
+
+  void clientTakesMore() {
+    if (stream != null) {
+      stream.resumeStream();
+    }
+  }
+
+  /** The stream has come to its end, or has broken, which the client is to notice. */
+  void streamEnded(boolean whole) {
+    stream = null;
+    dispatcher.figures().pending(-1);
+    dispatcher.figures().ended(type, whole ? Figures.End.COMPLETED : Figures.End.FAILED);
+    if (whole) {
+      client.endAnswer();
+    } else {
+      client.cutAnswer();
+    }
+    forgetIfDone();
+  }
+
   private boolean answer(Figures.End how) {
     if (answered) {
       return false;
@@ -170,11 +271,25 @@
 
   /** The client has gone before its answer. */
   void clientGone() {
+    if (stream != null) {
+      Attempt a = stream;
+      stream = null;
+      dispatcher.figures().pending(-1);
+      a.abandonStream();
+      forgetIfDone();
+      return;
+    }
     if (answered) {
       return;
     }
     over();
     dispatcher.clientGone(this);
+    if (uploads()) {
+      // What was to follow never comes: no host waits for it, whether or not attempts may be called off.
+      for (int i = 0; i < attempts.size(); i++) {
+        attempts.get(i).cancel();
+      }
+    }
     forgetIfDone();
   }
 
@@ -197,10 +312,13 @@
     if (body != null) {
       body.free();
     }
+    if (upload != null) {
+      upload.free();
+    }
   }
 
   private void forgetIfDone() {
-    if (answered && open == 0) {
+    if (answered && open == 0 && stream == null) {
       for (int i = 0; i < timers.size(); i++) {
         timers.get(i).cancel(false);
       }
--- a/src/main/java/rillyard/proxy/Proxy.java
+++ b/src/main/java/rillyard/proxy/Proxy.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import rillyard.operator.Figures;
 
 /** One client proxy: all of it on one event loop thread, from its start to its drain. */
 public final class Proxy {
@@ -20,7 +21,8 @@
   private static final long BASE_MB = 76;
 
   private static final long LEAST_BODIES_MB = 8;
-  private static final long MOST_BODIES_MB = 116;
+  /** Bodies that are held are small; two processes may share the limit while one follows the other. */
+  private static final long MOST_BODIES_MB = 48;
   private static final long SWEEP_MS = 250;
 
   /** After SIGTERM new connections come for 0.4 s at most; they are accepted for longer (ms). */
@@ -202,6 +204,10 @@
     return front.open();
   }
 
+  Figures figures() {
+    return dispatcher.figures();
+  }
+
   EventLoop loop() {
     return loop;
   }
--- a/src/main/java/rillyard/proxy/UpstreamCall.java
+++ b/src/main/java/rillyard/proxy/UpstreamCall.java
@@ -7,6 +7,9 @@
 
 /** What one connection to a host carries at a time: an attempt of a request. */
 abstract class UpstreamCall {
+  /** Hosts pause for 0.1 s at most. */
+  static final long STALL_NANOS = 150_000_000L;
+
   final Host host;
   private Channel connecting;
   private UpstreamConnection connection;
@@ -34,6 +37,14 @@
   /** Part of the answer's body. */
   abstract void content(HttpContent part);
 
+  /** More of the request would be taken by the connection. */
+  void writable() {}
+
+  /** How long (ns) an answer that has begun may say nothing before it is held to have broken. */
+  long stallNanos() {
+    return STALL_NANOS;
+  }
+
   /** The answer is whole. */
   abstract void end();
 
--- a/src/main/java/rillyard/proxy/UpstreamConnection.java
+++ b/src/main/java/rillyard/proxy/UpstreamConnection.java
@@ -70,9 +70,6 @@
   /** What of an unwanted answer is read before the connection is given up instead. */
   private static final int UNWANTED_BYTES = 64 * 1024;
 
-  /** An answer that has begun and says nothing for so long has broken. */
-  private static final long STALL_NANOS = 150_000_000L;
-
   /** A timer that fires later than this (ns) tells of a loop that has reads to catch up with. */
   private static final long LATE_NANOS = 10_000_000L;
 
@@ -275,7 +272,7 @@
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
     if (!stallTimer && mayStall()) {
-      watchStall(STALL_NANOS);
+      watchStall(call.stallNanos());
     }
   }
 
@@ -284,8 +281,8 @@
   }
 
   /**
-   * Guards against an answer that stops half way on an open connection: hosts pause for 0.1 s at
-   * most, so it has broken, and what waits for it can know long before its deadline.
+   * Guards against an answer that stops half way on an open connection: what waits for it can know
+   * long before its deadline.
    */
   private void watchStall(long nanos) {
     stallTimer = true;
@@ -299,7 +296,7 @@
                 return;
               }
               long now = System.nanoTime();
-              long left = decoder.readAt + STALL_NANOS - now;
+              long left = decoder.readAt + call.stallNanos() - now;
               if (left > 0) {
                 watchStall(left);
               } else if (now - due > LATE_NANOS) {
@@ -312,6 +309,23 @@
             TimeUnit.NANOSECONDS);
   }
 
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (call != null && channel.isWritable()) {
+      call.writable();
+    }
+  }
+
+  /** Reads on after a pause of ours, which is none of the host's. */
+  void resumeReading() {
+    decoder.readAt = System.nanoTime();
+    channel.config().setAutoRead(true);
+  }
+
+  void pauseReading() {
+    channel.config().setAutoRead(false);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     lost();
