--- a/src/main/java/rillyard/balancer/Attempts.java
+++ b/src/main/java/rillyard/balancer/Attempts.java
@@ -111,10 +111,7 @@
     this.limits = limits;
   }
 
-  /**
-   * The one place that decides whether a request may go to {@code target}, or be refused where
-   * {@code target} is null. Guards rule 1 (nothing after the end) and rule 2 (no effect twice).
-   */
+  /** Whether it may go to {@code target}, or be refused where that is null: guards rules 1 and 2. */
   boolean allowed(Call c, Fleet.Host target, double now) {
     if (c.ended) {
       return false;
--- a/src/main/java/rillyard/balancer/Draw.java
+++ b/src/main/java/rillyard/balancer/Draw.java
@@ -38,9 +38,7 @@
     candidates(c, now);
     best = null;
     drawn.forEach(h -> consider(h, c, now));
-    if (best == null) {
-      best = anyAllowed(c, now);
-    }
+    best = best != null ? best : anyAllowed(c, now);
     if (best != null && fleet.warmth(best, now) < 1) {
       best.coldCredit--;
     }
@@ -129,26 +127,32 @@
     return h.coldCredit >= 1;
   }
 
-  /** When the draw finds nobody: any host that may get it, healthy ones first (panic). */
+  /**
+   * When the draw finds nobody: any host that may get it, healthy ones first. One left out gets it only
+   * where none is healthy: guards against a jam of the healthy that sends all to those that fail.
+   */
   private Fleet.Host anyAllowed(Attempts.Call c, double now) {
     List<Fleet.Host> all = fleet.ready();
     int n = all.size();
     int start = n == 0 ? 0 : random.nextInt(n);
     Fleet.Host lastResort = null;
+    boolean jam = false;
     for (int i = 0; i < n; i++) {
       Fleet.Host h = all.get((start + i) % n);
-      if (!attempts.allowed(c, h, now) || (fleet.warmth(h, now) < 1 && !credit(h, now))
-          || (c.attempts.isEmpty() && !inTime(h, c, now))) {
+      if (!attempts.allowed(c, h, now) || (fleet.warmth(h, now) < 1 && !credit(h, now))) {
         continue;
       }
-      if (health.available(h, now, c.type.overdueAfter()) && !c.tried(h)) {
+      boolean late = c.attempts.isEmpty() && !inTime(h, c, now);
+      boolean healthy = health.available(h, now, c.type.overdueAfter());
+      jam |= late && healthy;
+      if (healthy && !late && !c.tried(h)) {
         return h;
       }
-      if (c.attempts.isEmpty() && (lastResort == null || h.inFlight < lastResort.inFlight)) {
+      if (c.attempts.isEmpty() && !late && (lastResort == null || h.inFlight < lastResort.inFlight)) {
         lastResort = h;
       }
     }
-    return lastResort;
+    return jam ? null : lastResort;
   }
 
   private void rebuild(int wanted, double now) {
--- a/src/main/java/rillyard/proxy/Operator.java
+++ b/src/main/java/rillyard/proxy/Operator.java
@@ -95,7 +95,8 @@
 
   private void look() throws IOException {
     OutFolder.State now = folder.read(System.currentTimeMillis());
-    if (!now.equals(seen)) {
+    // Field by field: the equals of a record is linked at run time, which a start would pay for.
+    if (seen == null || !now.out().equals(seen.out()) || !now.back().equals(seen.back())) {
       seen = now;
       loop.execute(() -> dispatcher.byHand(now));
     }
--- a/src/test/java/rillyard/balancer/BalancerTest.java
+++ b/src/test/java/rillyard/balancer/BalancerTest.java
@@ -381,6 +381,50 @@
     assertThat(fleet.expectedAnswer(h, bench.now + 150)).isZero();
   }
 
+  /** Requests that still come, and hosts whose part of them has not been written, are no silence. */
+  @Test
+  void aRequestThatStillComesIsNoSilenceAndItsTimeRunsFromItsLastByte() {
+    Settings s = Bench.settings(Bench.type(SAFE, Semantics.AT_MOST_ONCE, Scope.ALL));
+    Balancer b = balancer(s, Bench.hosts(1));
+    b.onRequest(bench.now, Bench.request(1, SAFE, Double.POSITIVE_INFINITY));
+    assertThat(bench.last().host()).isZero();
+    bench.now += 60_000;
+    b.onRequest(bench.now, Bench.request(2, SAFE, 800));
+    assertThat(bench.last().request()).isEqualTo(2); // the only host is taken for well
+    b.onOutcome(bench.now, 2, 0, Result.OK, 5, true, null);
+    b.onWhole(bench.now, 1, 800);
+    bench.now += 900;
+    b.onOutcome(bench.now, 1, 0, Result.CONNECT_FAILED, 5, false, null);
+    assertThat(bench.refused).containsExactly(1L); // its time is up, and it never ran
+  }
+
+  @Test
+  void aJamOfTheHealthyIsNoReasonToSendToThoseThatFail() {
+    Settings s = Bench.settings(Bench.type(SAFE, Semantics.AT_MOST_ONCE, Scope.ALL));
+    Settings.RequestClass type = s.classes().get(0);
+    Fleet fleet = new Fleet(s);
+    var random = new java.util.SplittableRandom(1);
+    fleet.apply(bench.now, News.FULL, Bench.hosts(2), random);
+    Attempts attempts = new Attempts(s.limits());
+    Health health = new Health(fleet, s.meanAim(), random, bench);
+    Admission admission = new Admission(s, random, bench);
+    Draw draw = new Draw(s, fleet, health, attempts, admission, random);
+    Attempts.Call c = new Attempts.Call(1, new Attempts.ClassState(type), bench.now, 800);
+    c.patience = 280;
+    for (int i = 0; i < 3; i++) {
+      health.failed(fleet.get(1), bench.now, true);
+    }
+    assertThat(draw.pick(c, bench.now)).isSameAs(fleet.get(0));
+    fleet.queued(fleet.get(0), 9, 100);
+    fleet.reported(fleet.get(0), bench.now, held(60)); // its queue takes longer than the request has
+    assertThat(draw.pick(c, bench.now)).isNull();
+    for (int i = 0; i < 3; i++) {
+      health.failed(fleet.get(0), bench.now, true);
+    }
+    fleet.reported(fleet.get(0), bench.now, held(0));
+    assertThat(draw.pick(c, bench.now)).isNotNull(); // nobody is healthy: somebody is better than none
+  }
+
   @Test
   void twoProxiesWithFewHostsKeepTheirCountsEven() {
     Settings s = Bench.settings(Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL));
