--- a/src/test/java/rillyard/balancer/BalancerTest.java
+++ b/src/test/java/rillyard/balancer/BalancerTest.java
@@ -381,21 +381,38 @@
     assertThat(fleet.expectedAnswer(h, bench.now + 150)).isZero();
   }
 
-  /** Requests that still come, and hosts whose part of them has not been written, are no silence. */
   @Test
-  void aRequestThatStillComesIsNoSilenceAndItsTimeRunsFromItsLastByte() {
+  void aRequestThatStillComesIsNoSilenceAndHidesNone() {
     Settings s = Bench.settings(Bench.type(SAFE, Semantics.AT_MOST_ONCE, Scope.ALL));
-    Balancer b = balancer(s, Bench.hosts(1));
+    Attempts.ClassState type = new Attempts.ClassState(s.classes().get(0));
+    Fleet fleet = new Fleet(s);
+    var random = new java.util.SplittableRandom(1);
+    fleet.apply(bench.now, News.FULL, Bench.hosts(1), random);
+    Fleet.Host h = fleet.get(0);
+    Attempts attempts = new Attempts(s.limits());
+    Health health = new Health(fleet, s.meanAim(), random, bench);
+    double at = bench.now;
+    attempts.start(new Attempts.Call(1, type, at, Double.POSITIVE_INFINITY), h, at);
+    assertThat(health.silent(h, at + 60_000, 50)).isFalse();
+    Attempts.Attempt whole = attempts.start(new Attempts.Call(2, type, at, 800), h, at);
+    assertThat(health.silent(h, at + 1_000, 50)).isTrue();
+    attempts.finish(whole, Result.OK);
+    assertThat(health.silent(h, at + 1_000, 50)).isFalse();
+  }
+
+  @Test
+  void theTimeOfARequestThatStillComesRunsFromItsLastByte() {
+    Settings s = Bench.settings(Bench.type(SAFE, Semantics.AT_MOST_ONCE, Scope.ALL));
+    Balancer b = balancer(s, Bench.hosts(2));
     b.onRequest(bench.now, Bench.request(1, SAFE, Double.POSITIVE_INFINITY));
-    assertThat(bench.last().host()).isZero();
     bench.now += 60_000;
-    b.onRequest(bench.now, Bench.request(2, SAFE, 800));
-    assertThat(bench.last().request()).isEqualTo(2); // the only host is taken for well
-    b.onOutcome(bench.now, 2, 0, Result.OK, 5, true, null);
+    b.onOutcome(bench.now, 1, 0, Result.CONNECT_FAILED, 5, false, null);
+    assertThat(bench.sends).hasSize(2); // it may still go to another one
     b.onWhole(bench.now, 1, 800);
     bench.now += 900;
-    b.onOutcome(bench.now, 1, 0, Result.CONNECT_FAILED, 5, false, null);
+    b.onOutcome(bench.now, 1, 1, Result.CONNECT_FAILED, 5, false, null);
     assertThat(bench.refused).containsExactly(1L); // its time is up, and it never ran
+    assertThat(bench.sends).hasSize(2);
   }
 
   @Test
--- a/src/test/java/rillyard/proxy/LongBodyTest.java
+++ b/src/test/java/rillyard/proxy/LongBodyTest.java
@@ -198,6 +198,29 @@
     }
   }
 
+  @Test
+  void aLongRequestThatIsOverdueGetsNoSecondCopyWithoutItsBody() throws Exception {
+    AtomicLong heads = new AtomicLong();
+    try (ScriptedServer host =
+            new ScriptedServer(
+                p -> {
+                  p.readHead();
+                  heads.incrementAndGet();
+                  p.exactly(MIB);
+                  Thread.sleep(1_000); // overdue after some 600 ms
+                  p.write(ScriptedServer.ok("late"));
+                  p.awaitEnd();
+                });
+        Rig rig = new Rig(Rig.server("a", host.port()), Rig.server("b", host.port()));
+        Peer c = rig.client()) {
+      c.write(Rig.head("POST", "log", 1_200, "Idempotency-Key: k\r\n")
+          + "Content-Length: " + MIB + "\r\n\r\n");
+      c.write(noise(MIB));
+      assertThat(c.read().text()).isEqualTo("late");
+      assertThat(heads.get()).isEqualTo(1);
+    }
+  }
+
   @Test
   void aLongRequestThatNobodyMayTakeIsRefusedAtOnce() throws Exception {
     try (Rig rig = new Rig();
