A process that takes over lends cold hosts their part from its first second

The own rate is remembered over 3 s and began at 0 with the process, so a successor lent hosts that were given back or restarted next to nothing while it had all of the load. What the memory has not seen yet is made up for, over 1 s at the least, so that the rate is never told too high.

--- a/src/main/java/rillyard/balancer/Admission.java
+++ b/src/main/java/rillyard/balancer/Admission.java
@@ -25,6 +25,7 @@
   private double servedPart = 1;
   private double rate;
   private double rateAt;
+  private double rateSince = Double.NaN;
   private double peak;
   private double peakAt;
   private int open;
@@ -51,7 +52,8 @@
       s.count = s.count * Math.exp(-(now - s.at) / Tuning.SHARE_MEMORY) + 1;
       s.at = now;
     }
-    rate = rate(now) + 1 / Tuning.RATE_MEMORY;
+    rateSince = Double.isNaN(rateSince) ? now : rateSince;
+    rate = rate * Math.exp(-(now - rateAt) / Tuning.RATE_MEMORY) + 1 / Tuning.RATE_MEMORY;
     rateAt = now;
     meanValue += 0.02 * (rules.value() - meanValue);
   }
@@ -73,12 +75,10 @@
 
   /** Own requests per ms that get served: in a jam far fewer than those that come. */
   double servedRate(double now) {
-    return rate(now) * Math.max(Tuning.LEAST_SERVED, servedPart);
-  }
-
-  /** Own requests per ms. */
-  double rate(double now) {
-    return rate * Math.exp(-(now - rateAt) / Tuning.RATE_MEMORY);
+    // A proxy that takes over has all of the load at once: what the memory lacks of it is made up for.
+    double seen = 1 - Math.exp(-(now - rateSince + Tuning.RATE_LEAST) / Tuning.RATE_MEMORY);
+    return rate * Math.exp(-(now - rateAt) / Tuning.RATE_MEMORY) / (seen > 0 ? seen : 1)
+        * Math.max(Tuning.LEAST_SERVED, servedPart);
   }
 
   void inFlight(double now, int change) {
--- a/src/main/java/rillyard/balancer/Draw.java
+++ b/src/main/java/rillyard/balancer/Draw.java
@@ -127,10 +127,7 @@
     return h.coldCredit >= 1;
   }
 
-  /**
-   * When the draw finds nobody: any host that may get it, healthy ones first. One left out gets it only
-   * where none is healthy: guards against a jam of the healthy that sends all to those that fail.
-   */
+  /** When the draw finds nobody: any healthy host; where none is, be it in a jam, one left out. */
   private Fleet.Host anyAllowed(Attempts.Call c, double now) {
     List<Fleet.Host> all = fleet.ready();
     int n = all.size();
--- a/src/main/java/rillyard/balancer/Tuning.java
+++ b/src/main/java/rillyard/balancer/Tuning.java
@@ -77,6 +77,7 @@
 
   /** Time constant (ms) of the proxy's own arrival rate. */
   static final double RATE_MEMORY = 3_000;
+  static final double RATE_LEAST = 1_000; // the least time (ms) over which it is taken
 
   /** Retries earned by each request, and the most that can be saved up. */
   static final double RETRY_RATIO = 0.2;
--- a/src/test/java/rillyard/balancer/BalancerTest.java
+++ b/src/test/java/rillyard/balancer/BalancerTest.java
@@ -1,6 +1,7 @@
 package rillyard.balancer;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -415,6 +416,21 @@
     assertThat(bench.sends).hasSize(2);
   }
 
+  /** Without it a successor would lend cold hosts next to nothing for its first seconds. */
+  @Test
+  void theRateOfAProxyThatHasAllItsLoadAtOnceIsNearTheTrueOneFromTheFirstSecondAndNeverOver() {
+    Settings s = Bench.settings(Bench.type(SAFE, Semantics.AT_MOST_ONCE, Scope.ALL));
+    Admission admission = new Admission(s, new java.util.SplittableRandom(1), bench);
+    assertThat(admission.servedRate(bench.now)).isZero();
+    for (int ms = 0; ms <= 20_000; ms += 10) { // 0.1 a ms
+      admission.arrived(bench.now + ms, s.classes().get(0), null);
+      if (ms >= 1_000) {
+        assertThat(admission.servedRate(bench.now + ms)).isBetween(0.05, 0.101);
+      }
+    }
+    assertThat(admission.servedRate(bench.now + 20_000)).isCloseTo(0.1, within(0.002));
+  }
+
   @Test
   void aJamOfTheHealthyIsNoReasonToSendToThoseThatFail() {
     Settings s = Bench.settings(Bench.type(SAFE, Semantics.AT_MOST_ONCE, Scope.ALL));
