A drain that comes before the proxy listens can't fail on its missing listener

Where a successor that does not listen yet gets SIGTERM while another one follows, the drain would have met no listener and never ended. The order among processes is asked from two threads and is safe for it now.

--- a/src/main/java/rillyard/proxy/Front.java
+++ b/src/main/java/rillyard/proxy/Front.java
@@ -116,8 +116,11 @@
    * the last accept at once: guards against connections that the kernel let in between the two.
    */
   void closeListener() {
-    listener.acceptRest();
-    listener.close();
+    QuietChannel.Server open = listener;
+    if (open != null) { // null where the end came before it listened
+      open.acceptRest();
+      open.close();
+    }
   }
 
   /** The client proxy goes: answers tell clients to move off, and idle connections are closed. */
--- a/src/main/java/rillyard/succession/Succession.java
+++ b/src/main/java/rillyard/succession/Succession.java
@@ -13,7 +13,7 @@
  * The order among processes of one proxy that run beside each other. The one in charge holds a lock
  * on {@code serving}; the one that follows holds one on {@code next} once it listens, until the
  * first has ended. The kernel drops locks with their process, so none is left by one that was
- * killed. Not safe for use from several threads at once.
+ * killed. Safe for use from several threads: the loop asks at the end, the second address follows.
  */
 public final class Succession implements Closeable {
   private final FileChannel serving;
@@ -47,7 +47,7 @@
   }
 
   /** Whether no other process is in charge. */
-  public boolean inCharge() {
+  public synchronized boolean inCharge() {
     return inCharge != null;
   }
 
@@ -57,7 +57,7 @@
    *
    * @throws IOException if the files can't be locked
    */
-  public void follow() throws IOException {
+  public synchronized void follow() throws IOException {
     if (inCharge == null) {
       inCharge = lock(serving);
     }
@@ -74,7 +74,7 @@
    *
    * @throws IOException if the file can't be locked
    */
-  public boolean followed() throws IOException {
+  public synchronized boolean followed() throws IOException {
     if (following != null) {
       return false;
     }
@@ -87,7 +87,7 @@
   }
 
   @Override
-  public void close() throws IOException {
+  public synchronized void close() throws IOException {
     serving.close();
     next.close();
   }
