A host that hangs under a long request is given up; a bound on hosts that were given back

Read again: while a long request still comes its time does not run, so one whose host takes nothing more was kept for as long as its client stayed. After 5 s of that the attempt is over; it never ran. A pause of the host's was counted as the client's silence; when hosts were given back was kept without a bound for names that never came back on the list; a target in absolute form made up for a missing Host.

--- a/src/main/java/rillyard/balancer/Arrival.java
+++ b/src/main/java/rillyard/balancer/Arrival.java
@@ -1,5 +1,9 @@
 package rillyard.balancer;
 
-/** A client's request; {@code tenant} may be null and {@code estimate} NaN where not told. */
+/**
+ * A client's request; {@code tenant} may be null and {@code estimate} (ms) NaN where not told.
+ * {@code budget} is what is left of its time (ms), infinite while its last byte has not come: see
+ * {@link Balancer#onWhole}.
+ */
 public record Arrival(
     long id, String className, String tenant, double budget, double estimate, boolean repeat) {}
--- a/src/main/java/rillyard/balancer/Balancer.java
+++ b/src/main/java/rillyard/balancer/Balancer.java
@@ -63,7 +63,7 @@
     return fleet.avoided();
   }
 
-  /** A request that came with an infinite budget is whole, and was written so to its present host. */
+  /** A request that came with an infinite budget is whole: {@code budget} ms are left of its time. */
   public void onWhole(double now, long request, double budget) {
     Attempts.Call c = calls.get(request);
     if (c != null) {
--- a/src/main/java/rillyard/balancer/Draw.java
+++ b/src/main/java/rillyard/balancer/Draw.java
@@ -127,7 +127,7 @@
     return h.coldCredit >= 1;
   }
 
-  /** When the draw finds nobody: any healthy host; where none is, be it in a jam, one left out. */
+  /** When the draw finds nobody: a healthy host in time; one left out only where none is healthy at all. */
   private Fleet.Host anyAllowed(Attempts.Call c, double now) {
     List<Fleet.Host> all = fleet.ready();
     int n = all.size();
--- a/src/main/java/rillyard/membership/TakenOut.java
+++ b/src/main/java/rillyard/membership/TakenOut.java
@@ -1,7 +1,7 @@
 package rillyard.membership;
 
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import rillyard.balancer.HostEntry;
@@ -17,7 +17,16 @@
   public static final int MOST = 4_096;
 
   private final Set<String> out = new HashSet<>();
-  private final Map<String, Double> back = new HashMap<>();
+  private final Map<String, Double> back =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        /** Guards against names that never come back on the list; the oldest are warm the soonest. */
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
+          return size() > MOST;
+        }
+      };
 
   /** Whether the host is out. */
   public boolean contains(String name) {
@@ -87,6 +96,11 @@
     return changed;
   }
 
+  /** Hosts of which it is known when they were given back. */
+  public int remembered() {
+    return back.size();
+  }
+
   /** The host has left the list: when it was given back is of no more use. */
   public void forget(String name) {
     back.remove(name);
--- a/src/main/java/rillyard/proxy/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/ClientConnection.java
@@ -92,6 +92,12 @@
   /** Bytes a second; clients take and give bodies at 64 kB a second. */
   private static final double LEAST_RATE = 8_192;
 
+  /**
+   * How long (ns) a host may take nothing of a body. Guards against one that hangs under a request whose
+   * time does not run yet, as its last byte has not come.
+   */
+  private static final long UNTAKEN_NANOS = 5_000_000_000L;
+
   /** How long (ns) a body that has begun may bring nothing. */
   private static final long SILENT_NANOS = 2_200_000_000L;
 
@@ -360,7 +366,7 @@
   /** RFC 9112, 3.2.2: a target in absolute form names the host; it goes on in origin form. */
   private static void toOriginForm(HttpRequest request) {
     String uri = request.uri();
-    if (uri.regionMatches(true, 0, "http://", 0, 7)) {
+    if (uri.regionMatches(true, 0, "http://", 0, 7) && request.headers().contains(HttpHeaderNames.HOST)) {
       int path = 7;
       while (path < uri.length() && uri.charAt(path) != '/' && uri.charAt(path) != '?') {
         path++;
@@ -468,6 +474,7 @@
 
   /** The connection to the host takes more of the body. */
   void readOn() {
+    decoder.readAt = System.nanoTime(); // the pause was the host's, and no silence of the client's
     channel.config().setAutoRead(true);
   }
 
@@ -735,7 +742,9 @@
     if (decoder.receiving && receivingSince == 0) {
       receivingSince = now;
     }
-    if (slow(now)) {
+    if (upload != null && !channel.config().isAutoRead() && now - decoder.readAt > UNTAKEN_NANOS) {
+      exchange.hostTakesNothing();
+    } else if (slow(now)) {
       if (skipping) {
         channel.close(); // it has its answer
       } else {
--- a/src/main/java/rillyard/proxy/Exchange.java
+++ b/src/main/java/rillyard/proxy/Exchange.java
@@ -113,6 +113,15 @@
     whenWhole.clear();
   }
 
+  /** The host hangs under a body that still comes: it can't have run, and the attempt is over. */
+  void hostTakesNothing() {
+    for (int i = 0; i < attempts.size(); i++) {
+      if (attempts.get(i).open()) {
+        attempts.get(i).notSent();
+      }
+    }
+  }
+
   void hostTakesMore() {
     if (uploads()) {
       client.readOn();
--- a/src/test/java/rillyard/membership/TakenOutTest.java
+++ b/src/test/java/rillyard/membership/TakenOutTest.java
@@ -66,6 +66,15 @@
     }
     assertThatThrownBy(() -> taken.takeOut("a")).hasMessageContaining("4096");
     assertThat(taken.takeOut("h1")).isFalse();
+    for (int i = 0; i < TakenOut.MOST; i++) {
+      taken.giveBack("h" + i, i);
+      taken.takeOut("g" + i);
+      taken.giveBack("g" + i, i);
+    }
+    assertThat(taken.remembered()).isEqualTo(TakenOut.MOST);
+    for (int i = 0; i < TakenOut.MOST; i++) {
+      taken.takeOut("h" + i);
+    }
     taken.adopt(Set.of("a", "b"), Map.of());
     assertThat(taken.size()).isLessThanOrEqualTo(TakenOut.MOST);
   }
--- a/src/test/java/rillyard/proxy/LongBodyTest.java
+++ b/src/test/java/rillyard/proxy/LongBodyTest.java
@@ -221,6 +221,33 @@
     }
   }
 
+  @Test
+  void aHostThatHangsUnderALongRequestIsGivenUp() throws Exception {
+    try (ScriptedServer host =
+            new ScriptedServer(
+                p -> {
+                  p.readHead();
+                  new CountDownLatch(1).await(); // takes what its kernel takes
+                });
+        Rig rig = new Rig(Rig.server("a", host.port()));
+        Peer c = rig.client()) {
+      Thread writer =
+          new Thread(
+              () -> {
+                try {
+                  c.write(upload(32 * MIB));
+                  c.write(noise(32 * MIB));
+                } catch (java.io.IOException e) {
+                  // the answer is there all the same
+                }
+              });
+      writer.setDaemon(true);
+      writer.start();
+      assertThat(c.read().status()).isEqualTo(503);
+      writer.join(); // the rest is read and thrown away
+    }
+  }
+
   @Test
   void aLongRequestThatNobodyMayTakeIsRefusedAtOnce() throws Exception {
     try (Rig rig = new Rig();
