A hot proxy draws from as many hosts as it has requests in flight

Line at fault: Draw.candidates, the bound HOST_PROXIES on the pool. Change: the bound is no less than the own requests in flight at their recent peak. Test: ManyProxiesTest, 40 hosts used where the bound gives 24.

--- a/src/main/java/rillyard/balancer/Draw.java
+++ b/src/main/java/rillyard/balancer/Draw.java
@@ -47,10 +47,10 @@
   }
 
   private void candidates(Attempts.Call c, double now) {
-    // Guards against many proxies that use up the hosts' connections together (if1c0a3).
-    double most = Tuning.HOST_PROXIES * fleet.ready().size() / settings.balancers();
-    double own = Tuning.BASE_POOL + Tuning.POOL_PER_IN_FLIGHT * admission.peak(now);
-    int wanted = (int) Math.max(Tuning.MIN_CHOICES, Math.min(own, most));
+    // Guards against many proxies that use up the hosts' connections (if1c0a3); those in use add up to the same.
+    double peak = admission.peak(now);
+    double most = Math.max(Tuning.MIN_CHOICES, Tuning.HOST_PROXIES * fleet.ready().size() / settings.balancers());
+    int wanted = (int) Math.min(Tuning.BASE_POOL + Tuning.POOL_PER_IN_FLIGHT * peak, Math.max(most, peak));
     if (fleet.takeChanged() || wanted > size || wanted < size / 2) {
       rebuild(wanted, now);
     }
--- a/src/test/java/rillyard/balancer/ManyProxiesTest.java
+++ b/src/test/java/rillyard/balancer/ManyProxiesTest.java
@@ -53,6 +53,29 @@
     assertThat(pairs).isBetween(PROXIES * 10, PROXIES * 20); // of 14 * 60
   }
 
+  /**
+   * One proxy of a hundred has sixty requests in flight: spread over sixty hosts they take no more connections
+   * than over the few that it may keep idle ones to, and jam none.
+   */
+  @Test
+  void aHotProxyUsesAsManyHostsAsItHasRequestsInFlight() {
+    Settings s = of(3, null);
+    Settings many = new Settings(
+        s.classes(), s.tenants(), s.limits(), s.rules(), s.fees(), false, null, 30, 100, 1, false);
+    Bench bench = new Bench();
+    Balancer b = new Balancer(many, 7, bench);
+    b.onMembership(bench.now, News.CACHED, Bench.hosts(40));
+    for (int i = 0; i < 2_000; i++) {
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+      bench.now += 2.5;
+      if (i >= 60) {
+        b.onOutcome(bench.now, bench.sends.get(i - 60).request(), 0, Result.OK, 150, true, null);
+      }
+    }
+    long used = bench.sends.stream().skip(1_000).map(Bench.Send::host).distinct().count();
+    assertThat(used).isEqualTo(40); // 24 at sixty proxies a host
+  }
+
   /** Five hosts of which one is idle: where own counts tie, its report is seen in most draws. */
   @Test
   void mostDrawsOfALightProxyMeetTheIdleHost() {
