--- a/src/main/c/start.c
+++ b/src/main/c/start.c
@@ -4,7 +4,7 @@
  *
  * Guards against a start that is taken for one that hangs, where a platform steps its processes one
  * thread at a time: the JDK's launcher makes its first thread before the process has ever waited, and
- * one such start in about 1,200 was lost on a busy machine (docs/design/fleet.md has the counts).
+ * one such start in about 1,200 was lost on a busy machine (docs/design/start.md has the counts).
  * It should serve wherever processes are started by the hundred. Harm: a millisecond of each start.
  */
 #include <dlfcn.h>
@@ -47,13 +47,12 @@
     return by_java(argv);
   }
   init(0, 0);
-  size_t n = 0, room = (size_t)argc + 1;
-  char **all = malloc(room * sizeof *all);
-  for (int i = 0; all && i < argc; i++) {
+  size_t n = 0;
+  char **all = NULL;
+  for (int i = 0; i < argc; i++) {
     ArgList file = i > 0 ? expand(argv[i], 1) : NULL; /* the contents of an @file, else NULL */
     size_t more = file ? file->size : 1;
-    room += more;
-    char **larger = realloc(all, room * sizeof *all);
+    char **larger = realloc(all, (n + more + 1) * sizeof *all);
     if (!larger) {
       return by_java(argv);
     }
@@ -62,9 +61,6 @@
       all[n++] = file ? file->elements[k] : argv[i];
     }
   }
-  if (!all) {
-    return by_java(argv);
-  }
   all[n] = NULL;
   return launch((int)n, all, 0, NULL, 0, NULL, "17", "17", "java", "openjdk", 0, 1, 0, 0);
 }
--- a/src/main/java/rillyard/measure/Neighbours.java
+++ b/src/main/java/rillyard/measure/Neighbours.java
@@ -10,7 +10,7 @@
  * in slices of some ms. One that mostly sleeps is favoured when it wakes, so this is true to a
  * start, which is all work, and kinder than a quota to what comes after it.
  */
-final class Neighbours implements AutoCloseable {
+public final class Neighbours implements AutoCloseable {
   private final List<Process> all = new ArrayList<>();
 
   /**
@@ -18,8 +18,9 @@
    *
    * @param core the core, as {@code taskset -c} takes it
    * @param share the part of the core to be left, from above 0 to 1; rounded to one over a whole number
+   * @throws IOException if one can't be started, as where {@code taskset} is missing
    */
-  Neighbours(String core, double share) throws IOException {
+  public Neighbours(String core, double share) throws IOException {
     int n = (int) Math.round(1 / share) - 1;
     for (int i = 0; i < n; i++) {
       all.add(
@@ -28,8 +29,12 @@
     }
   }
 
-  /** Guards against figures of a whole core that are taken for those of a part. */
-  void checkRunning() {
+  /**
+   * Guards against figures of a whole core that are taken for those of a part.
+   *
+   * @throws IllegalStateException if one has ended by itself
+   */
+  public void checkRunning() {
     for (Process p : all) {
       if (!p.isAlive()) {
         throw new IllegalStateException("a busy neighbour has ended by itself");
--- a/src/test/java/rillyard/proxy/PlatformRunIT.java
+++ b/src/test/java/rillyard/proxy/PlatformRunIT.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import rillyard.measure.Neighbours;
 import rillyard.process.Launch;
 import rillyard.process.ProxyProcess;
 
@@ -93,21 +94,15 @@
   /** A start that is starved: a third of one core for all of its threads, and none of them may spin. */
   @Test
   void starvedOfItsCoreItGetsReadyAndThenRests() throws Exception {
-    List<Process> neighbours = new ArrayList<>();
-    try (ScriptedServer silent = new ScriptedServer(Peer::awaitEnd)) {
-      for (int i = 0; i < 2; i++) {
-        neighbours.add(new ProcessBuilder("taskset", "-c", "0", "/bin/sh", "-c", "while :; do :; done").start());
-      }
-      try (ProxyProcess p = launch(shell(ROOT, "balancer.toml").on("0"), silent)) {
-        p.await(ProxyProcess.State.READY);
-        Map<String, Long> before = ticks(p);
-        Thread.sleep(2_000); // what is counted is processor time, which an idle thread does not take
-        ticks(p).forEach(
-            (thread, now) -> assertThat(now - before.getOrDefault(thread, 0L)).as(thread).isLessThan(IDLE_TICKS));
-        neighbours.forEach(n -> assertThat(n.isAlive()).isTrue());
-      }
-    } finally {
-      neighbours.forEach(Process::destroyForcibly);
+    try (Neighbours neighbours = new Neighbours("0", 1 / 3.0);
+        ScriptedServer silent = new ScriptedServer(Peer::awaitEnd);
+        ProxyProcess p = launch(shell(ROOT, "balancer.toml").on("0"), silent)) {
+      p.await(ProxyProcess.State.READY);
+      Map<String, Long> before = ticks(p);
+      Thread.sleep(2_000); // what is counted is processor time, which an idle thread does not take
+      ticks(p).forEach(
+          (thread, now) -> assertThat(now - before.getOrDefault(thread, 0L)).as(thread).isLessThan(IDLE_TICKS));
+      neighbours.checkRunning();
     }
   }
 
