Time waited in sockets over a gap comes off a request's time; overdue ones end first

Tried by hand: the built jar under steady load, stopped (SIGSTOP) for 1 s four times: answers up to 2,5 s after they were asked for, with 1,500 ms to live. Line at fault: ClientConnection.complete began the time of a request when it was read; what had lain in the socket, or in the backlog, came on top. Also Proxy.pollDrain ended with a backlog unaccepted. Change: rillyard.gaps tells since when what a turn reads may have waited: the look before, or the alarm that a stopped process slept past. TimedLooks times the looks, and ends what is overdue before a late look reads; hosts are not blamed for it. A drain takes the rest of the backlog before its end.

--- a/src/main/java/rillyard/process/Child.java
+++ b/src/main/java/rillyard/process/Child.java
@@ -74,6 +74,31 @@
     process.destroy();
   }
 
+  /** Has it stand still (SIGSTOP) until {@link #resume}; returns once it does. */
+  public void pause() throws IOException, InterruptedException {
+    signal("STOP");
+  }
+
+  /** Has it go on (SIGCONT), without knowing that it stood still. */
+  public void resume() throws IOException, InterruptedException {
+    signal("CONT");
+  }
+
+  /**
+   * Sends it a signal by its name without {@code SIG}.
+   *
+   * @throws IOException if it has ended, or the name is none
+   */
+  public void signal(String name) throws IOException, InterruptedException {
+    Process kill =
+        new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + pid())
+            .redirectErrorStream(true).start();
+    String said = new String(kill.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
+    if (kill.waitFor() != 0) {
+      throw new IOException("SIG" + name + " to " + pid() + " failed: " + said.strip());
+    }
+  }
+
   /** Sends SIGKILL and waits for the end. */
   public void kill() throws InterruptedException {
     process.destroyForcibly().waitFor();
--- a/src/main/java/rillyard/proxy/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/ClientConnection.java
@@ -497,7 +497,7 @@
     if (upload != null) {
       upload = null;
       readOn();
-      exchange.uploaded();
+      exchange.uploaded(waited() / 1e6);
       return;
     }
     HttpRequest request = head;
@@ -522,8 +522,7 @@
       return;
     }
     // Time in our own queue comes off the client's budget: its last byte may have waited there.
-    long waited = System.nanoTime() - resumedAt < JUST_NOW_NANOS ? resumedAt - pausedAt : 0;
-    double budget = Math.max(0, timeout - waited / 1e6);
+    double budget = Math.max(0, timeout - waited() / 1e6);
     String id = request.headers().get(Headers.REQUEST_ID);
     if (d.known(id)) { // it has come elsewhere while this one's body was on its way
       free(whole);
@@ -543,6 +542,13 @@
     d.arrived(exchange, arrival(request.headers(), exchange.id, budget));
   }
 
+  /** For how long (ns) the last byte read may have waited for us: in its socket, and before that unaccepted. */
+  private long waited() {
+    long now = System.nanoTime();
+    long paused = now - resumedAt < JUST_NOW_NANOS ? resumedAt - pausedAt : 0;
+    return Math.max(paused, now - channel.waitingSince());
+  }
+
   /** The work expected, which clients state in microseconds and the module takes in ms. */
   private static double estimate(String s) {
     try {
--- a/src/main/java/rillyard/proxy/Dispatcher.java
+++ b/src/main/java/rillyard/proxy/Dispatcher.java
@@ -20,6 +20,7 @@
 import rillyard.balancer.LoadReport;
 import rillyard.balancer.Result;
 import rillyard.balancer.Settings;
+import rillyard.gaps.Gaps;
 import rillyard.membership.ListGuard;
 import rillyard.membership.TakenOut;
 import rillyard.operator.Figures;
@@ -47,6 +48,7 @@
   private final BodyBudget budget;
   private final Hosts hosts;
   private final ListGuard guard;
+  private final Gaps gaps;
   private final TakenOut takenOut = new TakenOut();
   private final Figures figures;
   private final Balancer balancer;
@@ -60,8 +62,9 @@
   private Runnable follow = () -> {};
 
   Dispatcher(EventLoop loop, Config config, Upstreams upstreams, BodyBudget budget, Log log,
-      ListGuard guard) {
+      ListGuard guard, Gaps gaps) {
     this.loop = loop;
+    this.gaps = gaps;
     this.log = log;
     this.guard = guard;
     this.settings = config.settings();
@@ -77,6 +80,27 @@
     return CLOCK_START + (System.nanoTime() - startedAt) / 1e6;
   }
 
+  /** Since when what is read in this turn may have waited. */
+  Gaps gaps() {
+    return gaps;
+  }
+
+  /**
+   * Ends what is past its time after a gap of so many ns in this process's own time. Guards against clients
+   * that wait for a word behind all that has piled up meanwhile.
+   */
+  void endOverdue(long gap) {
+    double now = now();
+    int ended = 0;
+    for (Exchange e : new ArrayList<>(exchanges.values())) {
+      ended += e.endIfOverdue(now, gap / 1e6) ? 1 : 0;
+    }
+    if (ended > 0) {
+      int n = ended;
+      log.line(() -> "stood still for " + gap / 1_000_000 + " ms: " + n + " requests were past their time");
+    }
+  }
+
   /** Runs something on the loop after so many ms. */
   Future<?> later(double delay, Runnable what) {
     return loop.schedule(what, Math.max(0, (long) (delay * 1e6)), TimeUnit.NANOSECONDS);
--- a/src/main/java/rillyard/proxy/Exchange.java
+++ b/src/main/java/rillyard/proxy/Exchange.java
@@ -103,12 +103,14 @@
     return upload != null;
   }
 
-  void uploaded() {
+  /** Its last byte has come, and may have waited for so long (ms) in its socket. */
+  void uploaded(double waited) {
     upload.last();
-    deadlineAt = dispatcher.now() + timeout;
-    dispatcher.whole(this, timeout);
+    double left = Math.max(0, timeout - waited);
+    deadlineAt = dispatcher.now() + left;
+    dispatcher.whole(this, left);
     if (!answered) {
-      later(timeout, this::timeUp);
+      later(left, this::timeUp);
       whenWhole.forEach(Runnable::run);
     }
     whenWhole.clear();
@@ -312,10 +314,30 @@
     forgetIfDone();
   }
 
+  /**
+   * Ends it after a gap of this process's own, in ms, if its time has passed; tells whether it had. A host
+   * whose answer may lie in our socket is not to blame.
+   */
+  boolean endIfOverdue(double now, double gap) {
+    if (answered || now < deadlineAt) {
+      return false;
+    }
+    timeUp(now - gap < deadlineAt);
+    return true;
+  }
+
   private void timeUp() {
+    timeUp(false);
+  }
+
+  private void timeUp(boolean byOurGap) {
     for (int i = 0; i < attempts.size(); i++) {
       if (attempts.get(i).open()) {
-        attempts.get(i).timeUp();
+        if (byOurGap) {
+          attempts.get(i).cancel();
+        } else {
+          attempts.get(i).timeUp();
+        }
       }
     }
     failUnasked(); // if the module holds it still, the client's time is up all the same
--- a/src/main/java/rillyard/proxy/Front.java
+++ b/src/main/java/rillyard/proxy/Front.java
@@ -56,7 +56,7 @@
     }
     bootstrap
         .group(loop)
-        .channelFactory(QuietChannel.Server::new)
+        .channelFactory(() -> new QuietChannel.Server(dispatcher.gaps()))
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
@@ -117,7 +117,7 @@
    */
   void closeListener() {
     QuietChannel.Server open = listener;
-    if (open != null) { // null where the end came before it listened
+    if (open != null && open.isOpen()) { // null where the end came before it listened
       open.acceptRest();
       open.close();
     }
--- a/src/main/java/rillyard/proxy/Proxy.java
+++ b/src/main/java/rillyard/proxy/Proxy.java
@@ -1,8 +1,8 @@
 package rillyard.proxy;
 
 import io.netty.channel.EventLoop;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import rillyard.gaps.Gaps;
 import rillyard.membership.ListGuard;
 import rillyard.operator.Figures;
 import rillyard.trace.Trace;
@@ -62,22 +63,31 @@
   Proxy(Config config, Log log, ListGuard guard) {
     this.config = config;
     this.log = log;
-    this.group = newGroup();
+    Gaps gaps = new Gaps(System.nanoTime());
+    this.group = newGroup(TimedLooks.factory(gaps, this::late));
     this.loop = (EventLoop) group.next();
     Sockets sockets = new Sockets(config.sockets());
     long bodies =
         Math.max(LEAST_BODIES_MB, Math.min(MOST_BODIES_MB, config.memoryMb() - BASE_MB));
     BodyBudget budget = new BodyBudget(bodies << 20);
     Upstreams upstreams = new Upstreams(group, config, sockets, log);
-    this.dispatcher = new Dispatcher(loop, config, upstreams, budget, log, guard);
+    this.dispatcher = new Dispatcher(loop, config, upstreams, budget, log, guard, gaps);
     this.front = new Front(dispatcher, config, sockets, budget, log);
     this.discovery = new Discovery(group, config, dispatcher, log);
   }
 
   /** One event loop on a thread of its own. */
-  static MultiThreadIoEventLoopGroup newGroup() {
-    return new MultiThreadIoEventLoopGroup(
-        1, new DefaultThreadFactory("loop", true), NioIoHandler.newFactory());
+  static MultiThreadIoEventLoopGroup newGroup(IoHandlerFactory sockets) {
+    return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop", true), sockets);
+  }
+
+  /** The loop or the process stood still: who has waited past his time is told before anything is read. */
+  private void late(long nanos) {
+    try {
+      dispatcher.endOverdue(nanos);
+    } catch (RuntimeException e) {
+      log.failure("what was overdue could not be ended", e); // the timers will
+    }
   }
 
   /**
@@ -267,11 +277,15 @@
       front.drain();
     }
     boolean done = now >= acceptUntil && !front.busy();
+    if (done) {
+      // Guards against the same of connections that came while this process stood still, and wait unaccepted.
+      front.closeListener();
+      front.drain();
+      done = !front.busy();
+    }
     if (done || now >= drainUntil) {
       log.line(done ? "drained" : "drain cut short by its time");
-      if (front.listener() != null) { // null where the end came before it listened
-        front.listener().close();
-      }
+      front.closeListener();
       ended.countDown();
     } else {
       loop.schedule(this::pollDrain, POLL_MS, TimeUnit.MILLISECONDS);
--- a/src/main/java/rillyard/proxy/QuietChannel.java
+++ b/src/main/java/rillyard/proxy/QuietChannel.java
@@ -9,18 +9,26 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.List;
+import rillyard.gaps.Gaps;
 
 /** A socket that can be asked at once what the loop would hear of on its next turn only. */
 final class QuietChannel extends NioSocketChannel {
   /** Accepts such sockets. */
   static final class Server extends NioServerSocketChannel {
+    private final Gaps gaps;
+
+    Server(Gaps gaps) {
+      this.gaps = gaps;
+    }
+
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
       SocketChannel ch = javaChannel().accept();
       if (ch == null) {
+        gaps.accepted();
         return 0;
       }
-      accepted.add(new QuietChannel(this, ch));
+      accepted.add(new QuietChannel(this, ch, gaps));
       return 1;
     }
 
@@ -29,7 +37,7 @@
       try {
         SocketChannel ch;
         while ((ch = javaChannel().accept()) != null) {
-          pipeline().fireChannelRead(new QuietChannel(this, ch));
+          pipeline().fireChannelRead(new QuietChannel(this, ch, gaps));
         }
       } catch (IOException e) {
         // out of descriptors, or closed: what waits can't be had
@@ -41,10 +49,22 @@
   private final ByteBuffer one = ByteBuffer.allocate(1);
   private boolean holding;
 
+  private Gaps gaps;
+  private long acceptTurn;
+  private long acceptedSince;
+
   QuietChannel() {}
 
-  private QuietChannel(Channel parent, SocketChannel ch) {
+  private QuietChannel(Channel parent, SocketChannel ch, Gaps gaps) {
     super(parent, ch);
+    this.gaps = gaps;
+    this.acceptTurn = gaps.turn();
+    this.acceptedSince = gaps.accepting();
+  }
+
+  /** Since when (ns) what is read in this turn may have waited, on a connection that was accepted. */
+  long waitingSince() {
+    return gaps.since(acceptTurn, acceptedSince);
   }
 
   /**
--- /dev/null
+++ b/src/main/java/rillyard/proxy/TimedLooks.java
@@ -0,0 +1,121 @@
+package rillyard.proxy;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+import io.netty.channel.nio.NioIoHandler;
+import rillyard.gaps.Gaps;
+
+/**
+ * The loop's way to its sockets, with a look at the clock on either side of its wait. Where the loop or
+ * its process stood still, what is overdue is ended before anything new is read.
+ */
+final class TimedLooks implements IoHandler {
+  /** What is read later than this (ns) may be overdue; below it a turn's tasks find out soon enough. */
+  private static final long LATE_NANOS = 20_000_000L;
+
+  /** Told of each late turn, before it reads anything. */
+  interface Late {
+    void after(long lateNanos);
+  }
+
+  private final IoHandler sockets;
+  private final Gaps gaps;
+  private final Late late;
+
+  private TimedLooks(IoHandler sockets, Gaps gaps, Late late) {
+    this.sockets = sockets;
+    this.gaps = gaps;
+    this.late = late;
+  }
+
+  /** Makes it for one loop, which alone uses {@code gaps} and {@code late}. */
+  static IoHandlerFactory factory(Gaps gaps, Late late) {
+    IoHandlerFactory nio = NioIoHandler.newFactory();
+    return executor -> new TimedLooks(nio.newHandler(executor), gaps, late);
+  }
+
+  @Override
+  public int run(IoHandlerContext context) {
+    long now = System.nanoTime();
+    gaps.looking(now, context.canBlock() ? now + context.delayNanos(now) : now);
+    int handled = sockets.run(new AfterLook(context));
+    if (handled == 0) {
+      gaps.foundNothing();
+    }
+    return handled;
+  }
+
+  /**
+   * Netty asks between its wait and its reads whether the time of the reads is to be told: the one moment
+   * at which the wait is over and nothing is read yet (NioIoHandler.run, held by a test).
+   */
+  private final class AfterLook implements IoHandlerContext {
+    private final IoHandlerContext context;
+
+    AfterLook(IoHandlerContext context) {
+      this.context = context;
+    }
+
+    @Override
+    public boolean canBlock() {
+      return context.canBlock();
+    }
+
+    @Override
+    public long delayNanos(long now) {
+      return context.delayNanos(now);
+    }
+
+    @Override
+    public long deadlineNanos() {
+      return context.deadlineNanos();
+    }
+
+    @Override
+    public void reportActiveIoTime(long nanos) {
+      context.reportActiveIoTime(nanos);
+    }
+
+    @Override
+    public boolean shouldReportActiveIoTime() {
+      gaps.looked(System.nanoTime());
+      if (gaps.late() > LATE_NANOS) {
+        late.after(gaps.late());
+      }
+      return context.shouldReportActiveIoTime();
+    }
+  }
+
+  @Override
+  public void initialize() {
+    sockets.initialize();
+  }
+
+  @Override
+  public void prepareToDestroy() {
+    sockets.prepareToDestroy();
+  }
+
+  @Override
+  public void destroy() {
+    sockets.destroy();
+  }
+
+  @Override
+  public IoRegistration register(IoHandle handle) throws Exception {
+    return sockets.register(handle);
+  }
+
+  @Override
+  public void wakeup() {
+    sockets.wakeup();
+  }
+
+  @Override
+  public boolean isCompatible(Class<? extends IoHandle> type) {
+    return sockets.isCompatible(type);
+  }
+}
--- a/src/main/java/rillyard/proxy/WarmUp.java
+++ b/src/main/java/rillyard/proxy/WarmUp.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -71,7 +72,7 @@
       return 0; // nothing could be sent, and nobody be served either
     }
     Log silent = new Log(new PrintStream(OutputStream.nullOutputStream()));
-    EventLoopGroup group = Proxy.newGroup();
+    EventLoopGroup group = Proxy.newGroup(NioIoHandler.newFactory());
     try {
       Channel hosts =
           new ServerBootstrap()
--- a/src/test/java/rillyard/ArchitectureTest.java
+++ b/src/test/java/rillyard/ArchitectureTest.java
@@ -14,7 +14,7 @@
 class ArchitectureTest {
   /** Packages that decide, and do nothing else. */
   private static final String[] DECISIONS = {"rillyard.balancer..", "rillyard.audit..", "rillyard.membership..",
-      "rillyard.connections..", "rillyard.subset.."};
+      "rillyard.connections..", "rillyard.subset..", "rillyard.gaps.."};
 
   @ArchTest
   static final ArchRule DECISIONS_DO_NO_IO =
