--- a/src/main/java/rillyard/membership/ListGuard.java
+++ b/src/main/java/rillyard/hostlist/ListGuard.java
@@ -1,4 +1,4 @@
-package rillyard.membership;
+package rillyard.hostlist;
 
 import java.util.ArrayList;
 import java.util.HashSet;
--- a/src/main/java/rillyard/proxy/Hosts.java
+++ b/src/main/java/rillyard/proxy/Hosts.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import rillyard.balancer.HostEntry;
-import rillyard.membership.TakenOut;
+import rillyard.hostlist.TakenOut;
 
 /** The hosts that discovery has named, and the numbers by which the module knows them. */
 final class Hosts {
--- a/src/main/java/rillyard/proxy/ListOptions.java
+++ b/src/main/java/rillyard/proxy/ListOptions.java
@@ -1,7 +1,7 @@
 package rillyard.proxy;
 
 import java.util.Properties;
-import rillyard.membership.ListGuard;
+import rillyard.hostlist.ListGuard;
 
 /** What {@code deploy/lists.jvm} asks for; without its properties a whole list is always believed. */
 final class ListOptions {
--- a/src/main/java/rillyard/proxy/Proxy.java
+++ b/src/main/java/rillyard/proxy/Proxy.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import rillyard.gaps.Gaps;
-import rillyard.membership.ListGuard;
+import rillyard.hostlist.ListGuard;
 import rillyard.operator.Figures;
 import rillyard.trace.Trace;
 
--- a/src/test/java/rillyard/ArchitectureTest.java
+++ b/src/test/java/rillyard/ArchitectureTest.java
@@ -13,7 +13,7 @@
 @AnalyzeClasses(packages = "rillyard", importOptions = ImportOption.DoNotIncludeTests.class)
 class ArchitectureTest {
   /** Packages that decide, and do nothing else. */
-  private static final String[] DECISIONS = {"rillyard.balancer..", "rillyard.audit..", "rillyard.membership..",
+  private static final String[] DECISIONS = {"rillyard.balancer..", "rillyard.audit..", "rillyard.hostlist..",
       "rillyard.connections..", "rillyard.subset..", "rillyard.gaps.."};
 
   @ArchTest
--- a/src/test/java/rillyard/membership/TakenOutTest.java
+++ b/src/test/java/rillyard/hostlist/TakenOutTest.java
@@ -1,4 +1,4 @@
-package rillyard.membership;
+package rillyard.hostlist;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/src/test/java/rillyard/proxy/DoubtfulListTest.java
+++ b/src/test/java/rillyard/proxy/DoubtfulListTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import rillyard.membership.ListGuard;
+import rillyard.hostlist.ListGuard;
 
 /** Whole lists with most hosts missing, where they are doubted and where they are not. */
 class DoubtfulListTest {
--- a/src/test/java/rillyard/proxy/Rig.java
+++ b/src/test/java/rillyard/proxy/Rig.java
@@ -15,7 +15,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
-import rillyard.membership.ListGuard;
+import rillyard.hostlist.ListGuard;
 import rillyard.trace.Trace;
 
 /** A client proxy on loopback, with a discovery that says what the test has it say. */
