rillyard.member: SWIM with Lifeguard as decisions, on a virtual clock with faults between members

Need: even load, one owner and leaving a zone all stand on each process knowing which others live. A process that stood still gives suspects its own gap. Off everywhere: nothing loads it.

--- /dev/null
+++ b/src/main/java/rillyard/member/Change.java
@@ -0,0 +1,9 @@
+package rillyard.member;
+
+/**
+ * A belief that changed.
+ *
+ * @param before what was believed, null where the member was not known
+ * @param by who says so: the member itself, another's number as {@code #NUMBER}, or this member's clock
+ */
+public record Change(double at, Update now, Status before, String by) {}
--- /dev/null
+++ b/src/main/java/rillyard/member/Codec.java
@@ -0,0 +1,145 @@
+package rillyard.member;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Datagrams of the fleet as bytes, big-endian: version, kind, sequence (4), digest (4), sender, target, its address for
+ * {@link Message.Kind#ASK_FOR_ME}, then words until the end. A word: status, by (2), start (6), incarnation
+ * (2), address (4), port (2), zone, region, name's length and name.
+ */
+public final class Codec {
+  /** A platform may carry no more. */
+  public static final int MAX_BYTES = 256;
+
+  private static final byte VERSION = 1;
+  private static final int WORD = 20;
+
+  private Codec() {}
+
+  /** The bytes that a word takes. */
+  static int size(Update u) {
+    return WORD + u.card().name().length();
+  }
+
+  /** The bytes that a message without news takes. */
+  static int emptySize(Update sender, String target, boolean withAddress) {
+    return 11 + size(sender) + target.length() + (withAddress ? 6 : 0);
+  }
+
+  /**
+   * Writes a message.
+   *
+   * @throws IllegalArgumentException if it does not fit into {@code room} bytes
+   */
+  public static byte[] encode(Message m, int room) {
+    ByteBuffer b = ByteBuffer.allocate(4 * MAX_BYTES);
+    b.put(VERSION).put((byte) m.kind().ordinal()).putInt(m.sequence()).putInt(m.digest());
+    put(b, m.sender());
+    put(b, m.target());
+    if (m.kind() == Message.Kind.ASK_FOR_ME) {
+      put(b, m.targetAt());
+    }
+    for (Update u : m.news()) {
+      put(b, u);
+      if (b.position() > room) {
+        break;
+      }
+    }
+    if (b.position() > room) {
+      throw new IllegalArgumentException("a datagram of more than " + room + " bytes");
+    }
+    byte[] out = new byte[b.position()];
+    b.flip().get(out);
+    return out;
+  }
+
+  private static void put(ByteBuffer b, Update u) {
+    b.put((byte) u.status().ordinal()).putShort((short) u.by());
+    b.putShort((short) (u.life().start() >> 32)).putInt((int) u.life().start());
+    b.putShort((short) u.life().incarnation());
+    put(b, u.card().at());
+    b.put((byte) u.card().zone()).put((byte) u.card().region());
+    put(b, u.card().name());
+  }
+
+  private static void put(ByteBuffer b, Endpoint e) {
+    b.putInt(e.ip()).putShort((short) e.port());
+  }
+
+  private static void put(ByteBuffer b, String s) {
+    b.put((byte) s.length()).put(s.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  /**
+   * Reads a message.
+   *
+   * @throws IllegalArgumentException if the bytes are none; says what was expected
+   */
+  public static Message decode(byte[] bytes) {
+    if (bytes.length > MAX_BYTES) {
+      throw new IllegalArgumentException(bytes.length + " bytes, expected " + MAX_BYTES + " at most");
+    }
+    ByteBuffer b = ByteBuffer.wrap(bytes);
+    try {
+      byte version = b.get();
+      if (version != VERSION) {
+        throw new IllegalArgumentException("version " + version + ", expected " + VERSION);
+      }
+      Message.Kind kind = value(Message.Kind.values(), b.get());
+      int sequence = b.getInt();
+      int digest = b.getInt();
+      Update sender = word(b);
+      if (sender.status() != Status.ALIVE && sender.status() != Status.LEFT) {
+        throw new IllegalArgumentException("a sender that calls itself " + sender.status());
+      }
+      String target = text(b);
+      if (!target.isEmpty() && !Card.isName(target)) {
+        throw new IllegalArgumentException("a target that is no name");
+      }
+      Endpoint at = kind == Message.Kind.ASK_FOR_ME ? endpoint(b) : null;
+      List<Update> news = new ArrayList<>();
+      while (b.hasRemaining()) {
+        news.add(word(b));
+      }
+      return new Message(kind, sequence, digest, sender, target, at, List.copyOf(news));
+    } catch (BufferUnderflowException e) {
+      throw new IllegalArgumentException("cut off after " + bytes.length + " bytes", e);
+    }
+  }
+
+  private static <T> T value(T[] all, byte ordinal) {
+    if (ordinal < 0 || ordinal >= all.length) {
+      throw new IllegalArgumentException("kind or status " + ordinal + ", expected 0 to " + (all.length - 1));
+    }
+    return all[ordinal];
+  }
+
+  private static Update word(ByteBuffer b) {
+    Status status = value(Status.values(), b.get());
+    int by = b.getShort() & 0xFFFF;
+    long start = (b.getShort() & 0xFFFFL) << 32 | b.getInt() & 0xFFFFFFFFL;
+    Life life = new Life(start, b.getShort() & 0xFFFF);
+    Endpoint at = endpoint(b);
+    int zone = b.get() & 255;
+    int region = b.get() & 255;
+    return new Update(new Card(text(b), at, zone, region), life, status, by);
+  }
+
+  private static Endpoint endpoint(ByteBuffer b) {
+    return new Endpoint(b.getInt(), b.getShort() & 0xFFFF);
+  }
+
+  private static String text(ByteBuffer b) {
+    int n = b.get();
+    if (n < 0 || n > Card.MAX_NAME) {
+      throw new IllegalArgumentException("a name of " + n + " bytes, expected " + Card.MAX_NAME + " at most");
+    }
+    byte[] s = new byte[n];
+    b.get(s);
+    return new String(s, StandardCharsets.US_ASCII);
+  }
+}
--- /dev/null
+++ b/src/main/java/rillyard/member/Gossip.java
@@ -0,0 +1,78 @@
+package rillyard.member;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The words to pass on: the newest of each member, those passed on least often first, each only so often.
+ * Bounded by the members that are kept.
+ */
+final class Gossip {
+  private static final class Entry {
+    final String name;
+    int sent;
+
+    Entry(String name) {
+      this.name = name;
+    }
+  }
+
+  private final Map<String, Entry> queued = new HashMap<>();
+
+  /** There is a new word about this member. */
+  void changed(String name) {
+    queued.put(name, new Entry(name));
+  }
+
+  boolean isEmpty() {
+    return queued.isEmpty();
+  }
+
+  void forget(String name) {
+    queued.remove(name);
+  }
+
+  /**
+   * Picks words for one datagram.
+   *
+   * @param first names that come first, whatever was sent of them before
+   * @param room bytes that are left
+   * @param transmits how often a word is passed on
+   * @param fill names to go on with, where there is room, in their order
+   */
+  List<Update> pick(Map<String, Belief> beliefs, List<String> first, int room, int transmits, List<String> fill) {
+    List<Update> out = new ArrayList<>(10);
+    Set<String> in = new HashSet<>();
+    int left = room;
+    for (String name : first) {
+      left = add(out, in, beliefs.get(name), left);
+    }
+    if (!queued.isEmpty()) {
+      List<Entry> order = new ArrayList<>(queued.values());
+      order.sort((a, b) -> a.sent != b.sent ? Integer.compare(a.sent, b.sent) : a.name.compareTo(b.name));
+      for (Entry e : order) {
+        int before = left;
+        left = add(out, in, beliefs.get(e.name), left);
+        if (left < before && ++e.sent >= transmits) {
+          queued.remove(e.name);
+        }
+      }
+    }
+    for (String name : fill) {
+      left = add(out, in, beliefs.get(name), left);
+    }
+    return out;
+  }
+
+  private static int add(List<Update> out, Set<String> in, Belief b, int left) {
+    if (b == null || Codec.size(b.word) > left || !in.add(b.word.card().name())) {
+      return left;
+    }
+    out.add(b.word);
+    return left - Codec.size(b.word);
+  }
+}
--- /dev/null
+++ b/src/main/java/rillyard/member/Membership.java
@@ -0,0 +1,395 @@
+package rillyard.member;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import rillyard.member.Message.Kind;
+
+/**
+ * One member of the fleet, and what it believes of the others. Feed it messages and the time; it answers
+ * through {@link Out}. Times are ms since its process started, by a clock that never goes back. Not safe for use from several threads at once.
+ */
+public final class Membership {
+  /** What it does. */
+  public interface Out {
+    /** Sends a message; it may get lost. */
+    void send(Endpoint to, Message message);
+
+    /** A belief has changed. */
+    void changed(Change change);
+  }
+
+  /** A word this far (ms) ahead of this machine's Unix time is no life that anyone can have. */
+  private static final long CLOCKS_APART = 3_600_000;
+
+  /** A word so much newer than the last known of the same process was made up: nobody speaks up so often. */
+  private static final int LEAP = 1_024;
+
+  /** Datagrams with all that is known for one who joins: some 300 members; the rest comes by and by. */
+  private static final int WELCOME = 32;
+
+  /** Datagrams an interval for those whose table differs from this member's. */
+  private static final int PAGES = 8;
+
+  /** So many of all members ask a suspect in an interval, besides those who accuse it. */
+  private static final double ASK_SUSPECT = 4;
+
+  /** How many are told directly that this member goes. */
+  private static final int FAREWELLS = 6;
+
+  private static final int FILL = 12;
+
+  /** While there are words to pass on they go to so many at a time, so often an interval, besides the probes. */
+  private static final int TELL = 3;
+
+  private static final double TELLS = 2.5;
+
+  private record Relayed(int sequence, String asker, Endpoint askerAt, double nackAt, double until) {}
+
+  private final MemberSettings settings;
+  private final Out out;
+  private final List<Endpoint> seeds;
+  private final SplittableRandom random;
+  private final Roster roster;
+  private final Gossip gossip = new Gossip();
+  private final LocalHealth health = new LocalHealth();
+  private final java.util.Map<Integer, Relayed> relayed = new java.util.LinkedHashMap<>();
+  private Update self;
+  private Probe probe;
+  private int sequence;
+  private double lastTick = Double.NaN;
+  private double latest;
+  private double reachedOutAt = Double.NEGATIVE_INFINITY;
+  private double toldAt = Double.NEGATIVE_INFINITY;
+  private double pagedAt = Double.NEGATIVE_INFINITY;
+  private boolean over;
+
+  /**
+   * Makes a member that knows nobody yet.
+   *
+   * @param start when its process started, Unix time (ms)
+   * @param seeds where others may be, at the start and after a break
+   */
+  public Membership(MemberSettings settings, Card card, long start, List<Endpoint> seeds, long seed, Out out) {
+    this.settings = settings;
+    this.out = out;
+    this.seeds = List.copyOf(seeds);
+    this.random = new SplittableRandom(seed);
+    this.roster = new Roster(random);
+    this.self = new Update(card, new Life(start, 0), Status.ALIVE, Update.by(card.name()));
+  }
+
+  /** This member's own word about itself. */
+  public Update self() {
+    return self;
+  }
+
+  /** Whether it has left, or another process has its name: it says nothing any more. */
+  public boolean over() {
+    return over;
+  }
+
+  /** All others that are known, in no order. */
+  public List<Update> others() {
+    return roster.beliefs().values().stream().map(b -> b.word).toList();
+  }
+
+  /** Members that are alive or suspected, this one among them. */
+  public int present() {
+    return roster.present() + 1;
+  }
+
+  /** What its times are multiplied by, as it does not trust itself: 1 if all is well. */
+  public int distrust() {
+    return health.factor();
+  }
+
+  // --- time
+
+  /** Time passes; to be called many times an interval. */
+  public void tick(double now) {
+    if (over) {
+      return;
+    }
+    latest = now;
+    double gap = now - lastTick;
+    if (gap > settings.interval()) {
+      stoodStill(now, gap);
+    }
+    lastTick = now;
+    nackOverdue(now);
+    if (probe != null) {
+      goOn(now);
+    }
+    if (probe == null) {
+      begin(now);
+    }
+    roster.beliefs().values().stream().filter(b -> b.status() == Status.SUSPECT).toList()
+        .forEach(b -> suspected(b, now));
+    if (!gossip.isEmpty() && now - toldAt >= settings.interval() / TELLS) {
+      toldAt = now;
+      roster.some(TELL, "", true).forEach(b -> send(Kind.NEWS, 0, b.word.card().at(), "", null));
+    }
+    if (now - reachedOutAt >= 2 * settings.interval()) {
+      reachedOutAt = now;
+      reachOut();
+      roster.forget(now - settings.forget()).forEach(gossip::forget);
+    }
+  }
+
+  /**
+   * This process stood still: answers may lie unread, and suspects had no chance to be heard. Guards against
+   * a process that wakes up and has everybody declared dead.
+   */
+  private void stoodStill(double now, double gap) {
+    probe = null;
+    relayed.clear();
+    health.worse(2);
+    roster.beliefs().values().stream().filter(b -> b.status() == Status.SUSPECT).forEach(b -> b.since += gap);
+  }
+
+  /**
+   * A suspect is asked again and again, so that it hears of it and its word is heard, also where much gets
+   * lost: by those who accuse it, and by a few of the others.
+   */
+  private void suspected(Belief b, double now) {
+    if (now >= b.askAt) {
+      b.askAt = now + settings.interval();
+      if (b.accusers.contains(self.by()) || random.nextDouble() * present() < ASK_SUSPECT) {
+        send(Kind.PING, ++sequence, b.word.card().at(), b.word.card().name(), null);
+      }
+    }
+    if (now - b.since >= Suspicion.time(settings, present(), b.accusers.size())) {
+      believe(b, new Update(b.word.card(), b.word.life(), Status.DEAD, self.by()), now, "its time");
+    }
+  }
+
+  private void begin(double now) {
+    Belief b = roster.nextToProbe();
+    if (b == null) {
+      return;
+    }
+    probe = new Probe(++sequence, b.word.card(), now, health.factor(), settings);
+    send(Kind.PING, probe.sequence, b.word.card().at(), b.word.card().name(), null);
+  }
+
+  private void goOn(double now) {
+    if (probe.asksHelp(now)) {
+      for (Belief helper : roster.some(settings.helpers(), probe.target.name(), false)) {
+        probe.helpers++;
+        send(Kind.ASK_FOR_ME, probe.sequence, helper.word.card().at(), probe.target.name(), probe.target.at());
+      }
+    }
+    if (!probe.over(now)) {
+      return;
+    }
+    Probe p = probe;
+    probe = null;
+    if (p.answered) {
+      health.better();
+      return;
+    }
+    // Helpers that say nothing tell of this member's own hearing; those that say no speak for it.
+    health.worse(p.helpers == 0 ? 1 : Math.max(0, p.helpers - p.nacks));
+    Belief b = roster.get(p.target.name());
+    if (b != null && b.status().present()) {
+      heard(new Update(b.word.card(), b.word.life(), Status.SUSPECT, self.by()), now, "a probe");
+    }
+  }
+
+  /** Asks one who is held dead, or a seed that nobody is known at: after a break all are to be one again. */
+  private void reachOut() {
+    Belief dead = roster.someDead();
+    if (dead != null) {
+      send(Kind.PING, ++sequence, dead.word.card().at(), dead.word.card().name(), null);
+    }
+    if (!seeds.isEmpty()) {
+      Endpoint seed = seeds.get(random.nextInt(seeds.size()));
+      boolean known = seed.equals(self.card().at())
+          || roster.beliefs().values().stream().anyMatch(b -> b.status().present() && b.word.card().at().equals(seed));
+      if (!known) {
+        send(Kind.PING, ++sequence, seed, "", null);
+      }
+    }
+  }
+
+  /** Says that it goes, and says nothing after. */
+  public void leave(double now) {
+    if (over) {
+      return;
+    }
+    self = new Update(self.card(), self.life(), Status.LEFT, self.by());
+    for (Belief b : roster.some(FAREWELLS, "", false)) {
+      send(Kind.NEWS, 0, b.word.card().at(), "", null);
+    }
+    over = true;
+  }
+
+  // --- messages
+
+  /** A message has come from an address. */
+  public void received(double now, Endpoint from, Message m) {
+    latest = now;
+    Update sender = m.sender();
+    if (over || !sender.card().at().equals(from)) {
+      return; // who speaks for another place is not believed
+    }
+    if (sender.card().name().equals(self.card().name())) {
+      namesake(now, sender);
+      return;
+    }
+    boolean fresh = roster.get(sender.card().name()) == null;
+    heard(sender, now, sender.card().name());
+    for (Update u : m.news()) {
+      heard(u, now, "#" + u.by());
+    }
+    answer(now, from, m);
+    boolean joins = fresh && sender.status() == Status.ALIVE && roster.get(sender.card().name()) != null;
+    if (joins) {
+      pages(from, WELCOME);
+    } else if (m.kind() != Kind.NEWS && m.digest() != digest() && now - pagedAt >= settings.interval()) {
+      pagedAt = now;
+      pages(from, PAGES);
+    }
+  }
+
+  private int digest() {
+    return roster.digest() + Roster.mark(self);
+  }
+
+  /** Tells what it holds of all, as far as so many datagrams go. */
+  private void pages(Endpoint to, int most) {
+    int room = settings.room() - Codec.emptySize(self, "", false);
+    int told = 0;
+    for (int i = 0; i < most && told < roster.beliefs().size(); i++) {
+      List<Update> page = roster.page(room);
+      told += page.size();
+      out.send(to, new Message(Kind.NEWS, 0, digest(), self, "", null, page));
+    }
+  }
+
+  private void answer(double now, Endpoint from, Message m) {
+    switch (m.kind()) {
+      case PING -> {
+        if (m.target().isEmpty() || m.target().equals(self.card().name())) {
+          send(Kind.ACK, m.sequence(), from, m.sender().card().name(), null);
+        }
+      }
+      case ASK_FOR_ME -> {
+        if (relayed.size() < 4 * settings.most() && !m.target().equals(self.card().name())) {
+          double period = settings.interval();
+          relayed.put(++sequence,
+              new Relayed(m.sequence(), m.sender().card().name(), from, now + 0.8 * (period - settings.timeout()), now + 2 * period));
+          send(Kind.PING, sequence, m.targetAt(), m.target(), null);
+        }
+      }
+      case ACK -> {
+        Relayed r = relayed.remove(m.sequence());
+        if (r != null) {
+          send(Kind.ACK, r.sequence(), r.askerAt(), r.asker(), null);
+        } else if (probe != null && probe.sequence == m.sequence()) {
+          probe.answered = true;
+        }
+      }
+      case NACK -> {
+        if (probe != null && probe.sequence == m.sequence()) {
+          probe.nacks++;
+        }
+      }
+      case NEWS -> {}
+    }
+  }
+
+  private void nackOverdue(double now) {
+    relayed.entrySet().removeIf(e -> {
+      Relayed r = e.getValue();
+      if (now >= r.nackAt()) {
+        send(Kind.NACK, r.sequence(), r.askerAt(), r.asker(), null);
+        return true;
+      }
+      return now >= r.until();
+    });
+  }
+
+  /** A process of this member's own name speaks: the one that started later has the name. */
+  private void namesake(double now, Update other) {
+    if (other.life().start() > self.life().start() && believable(other, null)) {
+      over = true;
+      out.changed(new Change(now, other, Status.ALIVE, other.card().name()));
+    }
+  }
+
+  private boolean believable(Update u, Belief known) {
+    boolean possible = u.life().start() <= self.life().start() + (long) latest + CLOCKS_APART;
+    if (known == null || known.word.life().start() != u.life().start()) {
+      return possible && u.life().incarnation() <= LEAP;
+    }
+    return u.life().incarnation() <= known.word.life().incarnation() + LEAP;
+  }
+
+  private void heard(Update u, double now, String by) {
+    if (u.card().name().equals(self.card().name())) {
+      aboutSelf(u);
+      return;
+    }
+    Belief b = roster.get(u.card().name());
+    if (!believable(u, b)) {
+      return;
+    }
+    if (b == null) {
+      if (u.status().present() && roster.beliefs().size() < settings.most()) {
+        b = new Belief(u, now);
+        roster.add(b);
+        told(b, now, null, by);
+      }
+    } else if (u.overrides(b.word)) {
+      believe(b, u, now, by);
+    } else if (b.status() == Status.SUSPECT && u.status() == Status.SUSPECT && u.life().equals(b.word.life())
+        && b.accusers.size() < 8 && b.accusers.add(u.by())) {
+      b.word = u; // passed on as well: it is another's independent word
+      gossip.changed(u.card().name());
+    }
+  }
+
+  private void believe(Belief b, Update u, double now, String by) {
+    Status before = b.status();
+    roster.set(b, u, now);
+    told(b, now, before, by);
+  }
+
+  private void told(Belief b, double now, Status before, String by) {
+    if (b.status() == Status.SUSPECT) {
+      b.accusers.add(b.word.by());
+    }
+    gossip.changed(b.word.card().name());
+    if (b.status() != before) {
+      out.changed(new Change(now, b.word, before, by));
+    }
+  }
+
+  /** Others hold this member for ill or dead, or remember a life of its name before this one: it speaks up. */
+  private void aboutSelf(Update u) {
+    boolean later = u.life().compareTo(self.life()) > 0;
+    if (u.life().start() > self.life().start()
+        || u.life().incarnation() > self.life().incarnation() + LEAP && u.life().start() == self.life().start()) {
+      return; // nobody but itself can have said so
+    }
+    if (later || u.status() != Status.ALIVE && u.life().equals(self.life())) {
+      Life newest = later ? u.life() : self.life();
+      self = new Update(self.card(), newest.next(), Status.ALIVE, self.by());
+      health.worse(1);
+    }
+  }
+
+  private void send(Kind kind, int seq, Endpoint to, String target, Endpoint targetAt) {
+    List<String> first = new ArrayList<>(1);
+    Belief about = target.isEmpty() ? null : roster.get(target);
+    if (about != null && about.status() != Status.ALIVE) {
+      first.add(target); // it hears first what is believed of it
+    }
+    int room = settings.room() - Codec.emptySize(self, target, targetAt != null);
+    List<Update> news =
+        gossip.pick(roster.beliefs(), first, room, settings.transmits(present()), roster.fill(FILL));
+    out.send(to, new Message(kind, seq, digest(), self, target, targetAt, news));
+  }
+}
--- /dev/null
+++ b/src/main/java/rillyard/member/Message.java
@@ -0,0 +1,30 @@
+package rillyard.member;
+
+import java.util.List;
+
+/**
+ * One datagram.
+ *
+ * @param sequence which question it asks or answers
+ * @param sender the sender's word about itself
+ * @param target for a question, whom it is for; empty for anybody at that address, and in answers
+ * @param targetAt where the target is, for {@link Kind#ASK_FOR_ME}; else null
+ * @param digest of the members that the sender holds present, as {@link Roster#digest}
+ * @param news words about others
+ */
+public record Message(
+    Kind kind, int sequence, int digest, Update sender, String target, Endpoint targetAt, List<Update> news) {
+  /** What a datagram is for. */
+  public enum Kind {
+    /** Are you there? */
+    PING,
+    /** The one asked for is there. */
+    ACK,
+    /** Ask the target for me, and tell me. */
+    ASK_FOR_ME,
+    /** It has not answered me either, but I am there. */
+    NACK,
+    /** Nothing but news. */
+    NEWS
+  }
+}
