--- a/src/main/java/rillyard/cli/Cli.java
+++ b/src/main/java/rillyard/cli/Cli.java
@@ -23,6 +23,8 @@
       DemoCommand.class,
       MeasureCommand.class,
       SubsetCommand.class,
+      FleetCommand.class,
+      TrialCommand.class,
       HelpCommand.class
     })
 public final class Cli {
--- a/src/main/java/rillyard/cli/ProxyCommands.java
+++ b/src/main/java/rillyard/cli/ProxyCommands.java
@@ -1,9 +1,14 @@
 package rillyard.cli;
 
+import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
 import rillyard.adapter.Adapter;
 import rillyard.adapter.MalformedInputException;
+import rillyard.member.net.FleetFile;
+import rillyard.member.net.FleetMember;
 import rillyard.proxy.Proxy;
 import rillyard.proxy.Rehearsal;
 
@@ -21,8 +26,21 @@
       mixinStandardHelpOptions = true,
       versionProvider = Version.class)
   static final class ProxyCommand implements Callable<Integer> {
+    @Option(
+        names = "--fleet",
+        description = "TOML: joins the fleet that it describes (docs/membership.md). Not on the platform.")
+    private Path fleet;
+
     @Override
     public Integer call() throws Exception {
+      if (fleet == null) {
+        Proxy.run(System.getenv());
+        return Cli.DONE;
+      }
+      FleetMember member =
+          new FleetMember(FleetFile.read(fleet, System.getenv()), new SecureRandom().nextLong(), System.err);
+      member.start();
+      Runtime.getRuntime().addShutdownHook(new Thread(member::close, "leave"));
       Proxy.run(System.getenv());
       return Cli.DONE;
     }
--- /dev/null
+++ b/src/main/java/rillyard/member/net/FleetMember.java
@@ -0,0 +1,156 @@
+package rillyard.member.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.Inet4Address;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+import rillyard.member.Change;
+import rillyard.member.Codec;
+import rillyard.member.Endpoint;
+import rillyard.member.Membership;
+import rillyard.member.Message;
+
+/** This process's membership of the fleet: one socket, one thread, the decisions of {@link Membership}. */
+public final class FleetMember implements AutoCloseable {
+  /** Steps of its clock in an interval. */
+  private static final double STEPS = 10;
+
+  private final FleetSettings settings;
+  private final PrintStream log;
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("fleet", true), NioIoHandler.newFactory());
+  private final long startedUnix = System.currentTimeMillis();
+  private final long startedAt = System.nanoTime();
+  private final Membership member;
+  private final History history;
+  private Channel channel;
+  private long turnedAway;
+
+  /**
+   * Makes one; {@link #start} has it join.
+   *
+   * @throws IOException if its history can't be written
+   */
+  public FleetMember(FleetSettings settings, long seed, PrintStream log) throws IOException {
+    this.settings = settings;
+    this.log = log;
+    this.history = settings.history() == null ? null : new History(settings.history(), settings.card().name());
+    this.member = new Membership(settings.member(), settings.card(), startedUnix, settings.seeds(), seed, new Doing());
+  }
+
+  /**
+   * Binds the socket and joins.
+   *
+   * @throws IOException if its address can't be bound
+   */
+  public void start() throws IOException {
+    try {
+      channel =
+          new Bootstrap()
+              .group(group)
+              .channel(NioDatagramChannel.class)
+              // A byte more than any datagram may have: a longer one is seen to be longer, and turned away.
+              .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Codec.MAX_BYTES + 1))
+              .handler(new Incoming())
+              .bind(settings.listen())
+              .sync()
+              .channel();
+    } catch (Exception e) {
+      close();
+      throw new IOException("fleet: can't listen on " + settings.listen() + ": " + e.getMessage(), e);
+    }
+    if (history != null) {
+      history.line(startedUnix, new Change(0, member.self(), null, settings.card().name()));
+    }
+    long step = (long) (settings.member().interval() / STEPS * 1e6);
+    channel.eventLoop().scheduleWithFixedDelay(this::tick, 0, step, TimeUnit.NANOSECONDS);
+  }
+
+  private double now() {
+    return (System.nanoTime() - startedAt) / 1e6;
+  }
+
+  private void tick() {
+    try {
+      member.tick(now());
+    } catch (RuntimeException e) {
+      // Guards against a periodic task that ends for ever with its first exception.
+      log.println("rillyard: fleet: a step failed: " + e);
+    }
+  }
+
+  /** Says that it goes, as far as it can, and ends. */
+  @Override
+  public void close() {
+    if (channel != null) {
+      channel.eventLoop().submit(() -> member.leave(now())).awaitUninterruptibly();
+    }
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    try {
+      if (history != null) {
+        history.close();
+      }
+    } catch (IOException e) {
+      log.println("rillyard: fleet: the history could not be closed: " + e);
+    }
+  }
+
+  private final class Incoming extends SimpleChannelInboundHandler<DatagramPacket> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket p) {
+      byte[] bytes = new byte[p.content().readableBytes()];
+      p.content().readBytes(bytes);
+      try {
+        Message m = Codec.decode(bytes);
+        InetSocketAddress from = p.sender();
+        if (from.getAddress() instanceof Inet4Address ip) {
+          member.received(now(), new Endpoint(ByteBuffer.wrap(ip.getAddress()).getInt(), from.getPort()), m);
+        }
+      } catch (IllegalArgumentException e) {
+        if (turnedAway++ % 1_000 == 0) {
+          log.println("rillyard: fleet: datagram from " + p.sender() + " turned away, " + turnedAway + " so far: " + e.getMessage());
+        }
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      // A port unreachable somewhere, told here: the socket goes on.
+    }
+  }
+
+  private final class Doing implements Membership.Out {
+    @Override
+    public void send(Endpoint to, Message m) {
+      ByteBuf bytes = Unpooled.wrappedBuffer(Codec.encode(m, settings.member().room()));
+      channel.writeAndFlush(new DatagramPacket(bytes, FleetFile.address(to)), channel.voidPromise());
+    }
+
+    @Override
+    public void changed(Change c) {
+      if (history == null) {
+        return;
+      }
+      try {
+        history.line(startedUnix + (long) c.at(), c);
+      } catch (IOException e) {
+        log.println("rillyard: fleet: a line of the history is lost: " + e);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/rillyard/member/net/FleetSettings.java
@@ -0,0 +1,19 @@
+package rillyard.member.net;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import rillyard.member.Card;
+import rillyard.member.Endpoint;
+import rillyard.member.MemberSettings;
+
+/**
+ * One member's settings.
+ *
+ * @param listen where its datagrams come in and go out
+ * @param card who it is, with the address at which others reach it
+ * @param seeds where others may be
+ * @param history file that gets a line for each change of belief; null for none
+ */
+public record FleetSettings(
+    InetSocketAddress listen, Card card, List<Endpoint> seeds, MemberSettings member, Path history) {}
--- /dev/null
+++ b/src/main/java/rillyard/trial/TrialResult.java
@@ -0,0 +1,123 @@
+package rillyard.trial;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** What came of a trial. */
+public final class TrialResult {
+  /** A part of the timetable that was carried out: a fault that began, or ended. */
+  record Done(long at, Fault fault, boolean begin) {}
+
+  /** A member that was held dead by one who could have heard it. */
+  public record FalseDeath(String by, String about, double atSeconds) {}
+
+  /** So long (ms) after a fault beliefs may still come of it. */
+  private static final long AFTERMATH_MS = 15_000;
+
+  private final TrialPlan plan;
+  private final long begun;
+  private final List<Done> done;
+  private final Set<String> living;
+  private final Beliefs beliefs;
+
+  TrialResult(TrialPlan plan, long begun, List<Done> done, Set<String> living, Beliefs beliefs) {
+    this.plan = plan;
+    this.begun = begun;
+    this.done = List.copyOf(done);
+    this.living = Set.copyOf(living);
+    this.beliefs = beliefs;
+  }
+
+  /** The names of those that live in the end. */
+  public Set<String> living() {
+    return living;
+  }
+
+  /** Seconds of the timetable since when all that live hold just these present; NaN if they don't. */
+  public double agreedSeconds() {
+    long since = beliefs.agreedSince(living);
+    return since < 0 ? Double.NaN : Math.max(0, since - begun) / 1e3;
+  }
+
+  /** For each of the living, seconds from the fault until it held this member gone; those that never did lack. */
+  public List<Double> heldGoneAfter(String about, double faultSeconds) {
+    long from = begun + (long) (faultSeconds * 1_000);
+    Set<String> observers = new HashSet<>(living);
+    observers.remove(about);
+    List<Double> out = new ArrayList<>();
+    beliefs.heldGone(about, from, observers).values().forEach(at -> out.add((at - from) / 1e3));
+    out.sort(null);
+    return out;
+  }
+
+  /** Deaths of members that ran, and were cut off from nobody that has to do with it, at the time and just before. */
+  public List<FalseDeath> falseDeaths() {
+    List<FalseDeath> out = new ArrayList<>();
+    for (Beliefs.Belief b : beliefs.all()) {
+      if (b.status().equals("DEAD") && b.at() >= begun && !excused(b)) {
+        out.add(new FalseDeath(b.member(), b.about(), (b.at() - begun) / 1e3));
+      }
+    }
+    return out;
+  }
+
+  private boolean excused(Beliefs.Belief b) {
+    TrialMember by = member(b.member());
+    TrialMember about = member(b.about());
+    for (Done d : done) {
+      Fault f = d.fault();
+      boolean over = f.lasts() > 0 && b.at() > d.at() + f.lasts() + AFTERMATH_MS;
+      if (d.begin() && d.at() <= b.at() && !over) {
+        boolean away = !f.kind().between() && f.on().has(about);
+        boolean cut = f.kind() == Fault.Kind.LOSE && f.share() > 0.9 && (f.on().has(about) || f.to().has(about)
+            || f.on().has(by) || f.to().has(by));
+        if (away || cut) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  private TrialMember member(String name) {
+    return TrialMember.of(Integer.parseInt(name.substring(1)), plan.zones());
+  }
+
+  /** The result in words, faults among them. */
+  public String report() {
+    StringBuilder s = new StringBuilder();
+    for (Done d : done) {
+      Fault f = d.fault();
+      if (!d.begin() || f.kind().between()) {
+        continue;
+      }
+      for (TrialMember m : plan.members()) {
+        if (f.on().has(m) && f.kind() != Fault.Kind.RESTART) {
+          List<Double> after = heldGoneAfter(m.name(), (d.at() - begun) / 1e3);
+          s.append(String.format(Locale.ROOT, "%s: held gone by %d of %d living", f, after.size(),
+              living.size() - (living.contains(m.name()) ? 1 : 0)));
+          if (!after.isEmpty()) {
+            s.append(String.format(Locale.ROOT, ", after %.2f s (median), %.2f s (99th percentile), %.2f s (last)",
+                after.get(after.size() / 2), after.get((int) Math.ceil(0.99 * after.size()) - 1), after.get(after.size() - 1)));
+          }
+          s.append(" [").append(m.name()).append("]\n");
+        }
+      }
+    }
+    s.append("false deaths: ").append(falseDeaths().size()).append('\n');
+    falseDeaths().stream().limit(10).forEach(f -> s.append("  ").append(f).append('\n'));
+    double agreed = agreedSeconds();
+    s.append(Double.isNaN(agreed) ? "in the end they do not agree\n"
+        : String.format(Locale.ROOT, "all %d living hold just each other since %.1f s%n", living.size(), agreed));
+    for (Map.Entry<String, Set<String>> e : beliefs.present(Long.MAX_VALUE).entrySet()) {
+      if (living.contains(e.getKey()) && !e.getValue().equals(living)) {
+        s.append("  ").append(e.getKey()).append(" holds ").append(e.getValue().size()).append(" present\n");
+      }
+    }
+    return s.toString();
+  }
+}
--- /dev/null
+++ b/src/main/java/rillyard/trial/package-info.java
@@ -0,0 +1,2 @@
+/** Trials of many processes of this program, with faults between them. */
+package rillyard.trial;
--- /dev/null
+++ b/src/test/java/rillyard/member/net/FleetFileTest.java
@@ -0,0 +1,47 @@
+package rillyard.member.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rillyard.input.InvalidFileException;
+
+class FleetFileTest {
+  @TempDir Path folder;
+
+  private FleetSettings read(String text) throws Exception {
+    return FleetFile.read(Files.writeString(folder.resolve("fleet.toml"), text), Map.of("BALANCER_NAME", "app-17"));
+  }
+
+  @Test
+  void theFileUnderDeployIsRight() throws Exception {
+    FleetSettings s = FleetFile.read(Path.of("deploy/fleet.toml"), Map.of("BALANCER_NAME", "app-17"));
+    assertThat(s.card().name()).isEqualTo("app-17");
+    assertThat(s.seeds()).hasSize(3);
+    assertThat(s.member()).isEqualTo(rillyard.member.MemberSettings.USUAL);
+    assertThat(s.history()).isNull();
+  }
+
+  @Test
+  void othersAreToldTheAddressThatIsAdvertised() throws Exception {
+    FleetSettings s = read("[self]\nlisten = \"127.0.0.1:7400\"\nadvertise = \"10.9.8.7:65535\"\n");
+    assertThat(s.card().at()).hasToString("10.9.8.7:65535");
+    assertThat(s.listen().getPort()).isEqualTo(7400);
+  }
+
+  @Test
+  void allThatIsWrongIsToldByLine() {
+    assertThatThrownBy(() -> read("seeds = \"10.1.0.4\"\n[self]\nname = \"more than sixteen letters\"\n"
+            + "listen = \"host:1\"\nzone = 300\n[membership]\ntimeout_ms = 400\nintervall_ms = 1\n"))
+        .isInstanceOf(InvalidFileException.class)
+        .hasMessageContaining("fleet.toml:1").hasMessageContaining("expected IPv4:port")
+        .hasMessageContaining("fleet.toml:3").hasMessageContaining("printable ASCII")
+        .hasMessageContaining("fleet.toml:5").hasMessageContaining("expected a whole number from 0 to 255")
+        .hasMessageContaining("fleet.toml:7").hasMessageContaining("half of interval_ms")
+        .hasMessageContaining("did you mean 'interval_ms'");
+  }
+}
--- a/src/test/java/rillyard/proxy/JarIT.java
+++ b/src/test/java/rillyard/proxy/JarIT.java
@@ -185,7 +185,8 @@
         .doesNotContain(
             "picocli", "HdrHistogram", "dataformat.toml", "channel.epoll", "rillyard.cli",
             "rillyard.load", "rillyard.trace.", "rillyard.standin", "rillyard.audit", "rillyard.demo", "rillyard.ledger",
-            "rillyard.timing", "rillyard.input", "rillyard.process", "rillyard.measure", "rillyard.subset")
+            "rillyard.timing", "rillyard.input", "rillyard.process", "rillyard.measure", "rillyard.subset",
+            "rillyard.member", "rillyard.trial")
         // Each of these took a part of every start: a mapper with calendars and locales, the
         // recorder's events, libraries for logs that are not there.
         .doesNotContain("databind.ObjectMapper ", "jdk.jfr.internal.EventClassBuilder", "Slf4JLogger");
--- /dev/null
+++ b/src/test/java/rillyard/trial/TrialIT.java
@@ -0,0 +1,51 @@
+package rillyard.trial;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import rillyard.process.Launch;
+
+/** Twelve processes of the built jar, one killed, one stopped for a while, a zone cut off from the others. */
+@Timeout(150)
+class TrialIT {
+  private static final String PLAN =
+      """
+      seed = 7
+      processes = 12
+      zones = 3
+      for_s = 60
+      [[fault]]
+      at_s = 1
+      kind = "kill"
+      on = "m5"
+      [[fault]]
+      at_s = 1
+      kind = "stop"
+      on = "m7"
+      for_s = 8
+      [[fault]]
+      at_s = 14
+      kind = "lose"
+      on = "zone:0"
+      to = "zone:1,zone:2"
+      for_s = 8
+      """;
+
+  @TempDir Path folder;
+
+  @Test
+  void beliefsFollowAKillAStopAndACutAndAreOneAgain() throws Exception {
+    Launch built = Launch.platform(Path.of("").toAbsolutePath());
+    TrialResult r =
+        new Trial(TrialPlanReader.parse("plan", PLAN), folder.resolve("trial"), System.out).run(built);
+    assertThat(r.living()).hasSize(11).doesNotContain("m5");
+    assertThat(r.heldGoneAfter("m5", 1)).as(r.report()).hasSize(11);
+    assertThat(r.heldGoneAfter("m7", 1)).as(r.report()).hasSize(10);
+    assertThat(r.heldGoneAfter("m0", 14)).as("held gone across the cut: %s", r.report()).isNotEmpty();
+    assertThat(r.falseDeaths()).as(r.report()).isEmpty();
+    assertThat(r.agreedSeconds()).as(r.report()).isGreaterThan(14);
+  }
+}
