--- a/src/main/java/rillyard/member/Gossip.java
+++ b/src/main/java/rillyard/member/Gossip.java
@@ -32,6 +32,13 @@
     return queued.isEmpty();
   }
 
+  /** What is queued, and how often it was passed on. */
+  String state() {
+    StringBuilder s = new StringBuilder();
+    new java.util.TreeMap<>(queued).values().forEach(e -> s.append("; tell ").append(e.name).append(e.sent));
+    return s.toString();
+  }
+
   void forget(String name) {
     queued.remove(name);
   }
--- a/src/main/java/rillyard/member/Membership.java
+++ b/src/main/java/rillyard/member/Membership.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 import rillyard.member.Message.Kind;
 
 /**
@@ -49,7 +49,7 @@
   private final MemberSettings settings;
   private final Out out;
   private final List<Endpoint> seeds;
-  private final SplittableRandom random;
+  private final RandomGenerator random;
   private final Roster roster;
   private final Gossip gossip = new Gossip();
   private final LocalHealth health = new LocalHealth();
@@ -69,12 +69,14 @@
    *
    * @param start when its process started, Unix time (ms)
    * @param seeds where others may be, at the start and after a break
+   * @param random its only source of chance
    */
-  public Membership(MemberSettings settings, Card card, long start, List<Endpoint> seeds, long seed, Out out) {
+  public Membership(MemberSettings settings, Card card, long start, List<Endpoint> seeds, RandomGenerator random,
+      Out out) {
     this.settings = settings;
     this.out = out;
     this.seeds = List.copyOf(seeds);
-    this.random = new SplittableRandom(seed);
+    this.random = random;
     this.roster = new Roster(random);
     this.self = new Update(card, new Life(start, 0), Status.ALIVE, Update.by(card.name()));
   }
@@ -94,6 +96,21 @@
     return roster.beliefs().values().stream().map(b -> b.word).toList();
   }
 
+  /**
+   * All that its next steps depend on but chance and the time itself, in words: the same for two members that
+   * will act alike. {@code now} is the time from which times in it count.
+   */
+  String state(double now) {
+    StringBuilder s = new StringBuilder().append(self).append(over).append(health.factor());
+    s.append(' ').append(now - lastTick).append(' ').append(now - reachedOutAt).append(' ').append(now - pagedAt)
+        .append(' ').append(now - toldAt);
+    s.append(probe == null ? " -" : probe.state(now, sequence));
+    new java.util.TreeMap<>(roster.beliefs()).values().forEach(b ->
+        s.append("; ").append(b.word).append(now - b.since).append(' ').append(b.askAt - now).append(new java.util.TreeSet<>(b.accusers)));
+    relayed.forEach((k, r) -> s.append("; for ").append(r.asker()).append(r.nackAt() - now));
+    return s.append(gossip.state()).append(roster.state()).toString();
+  }
+
   /** Members that are alive or suspected, this one among them. */
   public int present() {
     return roster.present() + 1;
@@ -370,8 +387,13 @@
   /** Others hold this member for ill or dead, or remember a life of its name before this one: it speaks up. */
   private void aboutSelf(Update u) {
     boolean later = u.life().compareTo(self.life()) > 0;
-    if (u.life().start() > self.life().start()
-        || u.life().incarnation() > self.life().incarnation() + LEAP && u.life().start() == self.life().start()) {
+    if (u.life().start() > self.life().start()) {
+      // A life before this one that had a later start: this machine's clock was set back in between. One at
+      // another address may be a process that took the name over; it says so itself (namesake).
+      if (!believable(u, null) || !u.card().at().equals(self.card().at()) && u.status().present()) {
+        return;
+      }
+    } else if (u.life().start() == self.life().start() && u.life().incarnation() > self.life().incarnation() + LEAP) {
       return; // nobody but itself can have said so
     }
     if (later || u.status() != Status.ALIVE && u.life().equals(self.life())) {
--- a/src/main/java/rillyard/member/Probe.java
+++ b/src/main/java/rillyard/member/Probe.java
@@ -28,6 +28,11 @@
     return true;
   }
 
+  String state(double now, int newest) {
+    return " " + target.name() + (newest - sequence) + " " + (helpAt - now) + " " + (overAt - now) + helpAsked + helpers
+        + nacks + answered;
+  }
+
   boolean over(double now) {
     return now >= overAt;
   }
--- a/src/main/java/rillyard/member/Roster.java
+++ b/src/main/java/rillyard/member/Roster.java
@@ -5,20 +5,20 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 
 /** The other members that are known, and in which order they are probed: a random one, dealt anew each round. */
 final class Roster {
   private final Map<String, Belief> beliefs = new HashMap<>();
   private final List<String> round = new ArrayList<>();
   private final List<String> all = new ArrayList<>();
-  private final SplittableRandom random;
+  private final RandomGenerator random;
   private int next;
   private int cursor;
   private int present;
   private int digest;
 
-  Roster(SplittableRandom random) {
+  Roster(RandomGenerator random) {
     this.random = random;
   }
 
@@ -139,6 +139,11 @@
     return null;
   }
 
+  /** Whose turn it is. */
+  String state() {
+    return "; " + round + next + " " + all + cursor;
+  }
+
   /** The next words in turn that fit into the room: page after page the whole table. */
   List<Update> page(int room) {
     List<Update> out = new ArrayList<>(12);
--- a/src/main/java/rillyard/member/net/FleetMember.java
+++ b/src/main/java/rillyard/member/net/FleetMember.java
@@ -18,6 +18,7 @@
 import java.net.Inet4Address;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import rillyard.member.Change;
 import rillyard.member.Codec;
@@ -50,7 +51,7 @@
     this.settings = settings;
     this.log = log;
     this.history = settings.history() == null ? null : new History(settings.history(), settings.card().name());
-    this.member = new Membership(settings.member(), settings.card(), startedUnix, settings.seeds(), seed, new Doing());
+    this.member = new Membership(settings.member(), settings.card(), startedUnix, settings.seeds(), new SplittableRandom(seed), new Doing());
   }
 
   /**
--- a/src/test/java/rillyard/member/MembershipTest.java
+++ b/src/test/java/rillyard/member/MembershipTest.java
@@ -118,6 +118,17 @@
     assertThat(other.others()).contains(now);
   }
 
+  @Test
+  void aProcessWhoseClockWasSetBackBetweenItsLivesIsBackAllTheSame() {
+    VirtualFleet f = joined(12, 10);
+    f.kill(4);
+    f.run(1 * S);
+    f.clock -= 600_000;
+    f.start(4);
+    f.clock += 600_000;
+    assertThat(f.untilAgreed(30 * S)).as("agreed").isNotNegative();
+  }
+
   @Test
   void oneThatLeavesIsGoneWithoutBeingSuspected() {
     VirtualFleet f = joined(9, 20);
--- a/src/test/java/rillyard/member/VirtualFleet.java
+++ b/src/test/java/rillyard/member/VirtualFleet.java
@@ -35,7 +35,7 @@
       this.name = name;
       this.at = new Endpoint(0x7F000001 + index, 4_000);
       this.member =
-          new Membership(settings, new Card(name, at, index % 3, 0), BEGIN + (long) now, seeds, random.nextLong(), this);
+          new Membership(settings, new Card(name, at, index % 3, 0), BEGIN + (long) now + clock, seeds, random.split(), this);
     }
 
     private double time() {
@@ -96,6 +96,8 @@
       new PriorityQueue<>((a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
   private long order;
   double now;
+  /** What the wall clock is ahead by (ms), at the start of the next process. */
+  long clock;
   double loss;
   double doubled;
   double delay = 2;
