Datagrams of the fleet can be sealed: AES-GCM, a key each sender, two keys, replays turned away

Need: on a network where others can send, membership must not believe them. Price told in the design: a start with the clock set back is turned away until it has passed.

--- a/src/main/java/rillyard/member/net/FleetFile.java
+++ b/src/main/java/rillyard/member/net/FleetFile.java
@@ -1,10 +1,13 @@
 package rillyard.member.net;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import rillyard.input.InvalidFileException;
@@ -42,12 +45,41 @@
         seeds.add(endpoint(root, "seeds", s));
       }
     }
-    MemberSettings member = member(root.table("membership"));
+    List<byte[]> keys = keys(root);
+    MemberSettings member = member(root.table("membership"), keys.isEmpty() ? 0 : Seal.BYTES);
     root.finish();
-    return new FleetSettings(address(listen), card, seeds, member, history == null ? null : Path.of(history));
+    return new FleetSettings(address(listen), card, seeds, member, keys, history == null ? null : Path.of(history));
   }
 
-  private static MemberSettings member(TomlTable t) {
+  /** One or two keys, a line of 64 hexadecimal digits each, in a file that only this process's user may read. */
+  private static List<byte[]> keys(TomlTable root) {
+    String file = root.text("key_file", null);
+    if (file == null) {
+      return List.of();
+    }
+    try {
+      Path path = Path.of(file);
+      if (Files.getPosixFilePermissions(path).stream().anyMatch(p -> !p.name().startsWith("OWNER"))) {
+        root.error("key_file", file + " may be read by others, expected mode 600");
+      }
+      List<byte[]> keys = new ArrayList<>();
+      for (String line : Files.readAllLines(path)) {
+        if (!line.isBlank()) {
+          keys.add(line.strip().length() == 64 ? HexFormat.of().parseHex(line.strip()) : new byte[0]);
+        }
+      }
+      if (keys.isEmpty() || keys.size() > 2 || keys.stream().anyMatch(k -> k.length != 32)) {
+        root.error("key_file", file + ": expected one or two lines of 64 hexadecimal digits");
+        return List.of();
+      }
+      return keys;
+    } catch (IOException | IllegalArgumentException | UnsupportedOperationException e) {
+      root.error("key_file", file + " can't be read: " + e);
+      return List.of();
+    }
+  }
+
+  private static MemberSettings member(TomlTable t, int seal) {
     MemberSettings u = MemberSettings.USUAL;
     double interval = t.number("interval_ms", u.interval(), 100, 60_000);
     double timeout = t.number("timeout_ms", Math.min(u.timeout(), interval / 2), 10, 30_000);
@@ -62,7 +94,7 @@
         (int) t.whole("spread", u.spread(), 1, 10),
         1_000 * t.number("forget_s", u.forget() / 1_000, 10, 3_600),
         (int) t.whole("most", u.most(), 2, 100_000),
-        (int) t.whole("datagram_bytes", u.room(), 128, Codec.MAX_BYTES));
+        (int) t.whole("datagram_bytes", u.room(), 128 + seal, Codec.MAX_BYTES) - seal);
   }
 
   /** An {@code IPv4:port}; names are not looked up. */
--- a/src/main/java/rillyard/member/net/FleetMember.java
+++ b/src/main/java/rillyard/member/net/FleetMember.java
@@ -39,6 +39,7 @@
   private final long startedAt = System.nanoTime();
   private final Membership member;
   private final History history;
+  private final Seal seal;
   private Channel channel;
   private long turnedAway;
 
@@ -51,6 +52,8 @@
     this.settings = settings;
     this.log = log;
     this.history = settings.history() == null ? null : new History(settings.history(), settings.card().name());
+    this.seal = settings.keys().isEmpty() ? null
+        : new Seal(settings.keys(), settings.card().at(), startedUnix, settings.member().most());
     this.member = new Membership(settings.member(), settings.card(), startedUnix, settings.seeds(), new SplittableRandom(seed), new Doing());
   }
 
@@ -117,10 +120,10 @@
       byte[] bytes = new byte[p.content().readableBytes()];
       p.content().readBytes(bytes);
       try {
-        Message m = Codec.decode(bytes);
-        InetSocketAddress from = p.sender();
-        if (from.getAddress() instanceof Inet4Address ip) {
-          member.received(now(), new Endpoint(ByteBuffer.wrap(ip.getAddress()).getInt(), from.getPort()), m);
+        InetSocketAddress sender = p.sender();
+        if (sender.getAddress() instanceof Inet4Address ip) {
+          Endpoint from = new Endpoint(ByteBuffer.wrap(ip.getAddress()).getInt(), sender.getPort());
+          member.received(now(), from, Codec.decode(seal == null ? bytes : seal.open(from, bytes)));
         }
       } catch (IllegalArgumentException e) {
         if (turnedAway++ % 1_000 == 0) {
@@ -138,7 +141,8 @@
   private final class Doing implements Membership.Out {
     @Override
     public void send(Endpoint to, Message m) {
-      ByteBuf bytes = Unpooled.wrappedBuffer(Codec.encode(m, settings.member().room()));
+      byte[] plain = Codec.encode(m, settings.member().room());
+      ByteBuf bytes = Unpooled.wrappedBuffer(seal == null ? plain : seal.seal(plain));
       channel.writeAndFlush(new DatagramPacket(bytes, FleetFile.address(to)), channel.voidPromise());
     }
 
--- a/src/main/java/rillyard/member/net/FleetSettings.java
+++ b/src/main/java/rillyard/member/net/FleetSettings.java
@@ -13,7 +13,9 @@
  * @param listen where its datagrams come in and go out
  * @param card who it is, with the address at which others reach it
  * @param seeds where others may be
+ * @param keys of the group, the first seals and all open; empty where datagrams are not sealed
  * @param history file that gets a line for each change of belief; null for none
  */
 public record FleetSettings(
-    InetSocketAddress listen, Card card, List<Endpoint> seeds, MemberSettings member, Path history) {}
+    InetSocketAddress listen, Card card, List<Endpoint> seeds, MemberSettings member, List<byte[]> keys,
+    Path history) {}
--- a/src/main/java/rillyard/trial/TrialFleet.java
+++ b/src/main/java/rillyard/trial/TrialFleet.java
@@ -7,7 +7,10 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.security.SecureRandom;
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.List;
 import rillyard.ledger.Ledger;
 import rillyard.process.Child;
@@ -34,6 +37,7 @@
   private final Child[] children;
   private final StandIn hosts;
   private final Path config;
+  private final Path key;
   final Relays relays;
 
   /**
@@ -64,6 +68,11 @@
             Ledger.none(), System.err);
     hosts.start();
     this.config = folder.resolve("config.json");
+    this.key = folder.resolve("fleet.key");
+    byte[] bytes = new byte[32];
+    new SecureRandom().nextBytes(bytes);
+    Files.writeString(key, HexFormat.of().formatHex(bytes));
+    Files.setPosixFilePermissions(key, PosixFilePermissions.fromString("rw-------"));
     new ObjectMapper().writeValue(config.toFile(), hosts.ready());
   }
 
@@ -98,7 +107,7 @@
       seeds.append(seeds.isEmpty() ? "" : ",").append(text(relays.address(s)));
     }
     Path settings = folder.resolve(m.name() + ".toml");
-    Files.writeString(settings, "seeds = \"" + seeds + "\"\n[self]\nname = \"" + m.name() + "\"\nlisten = \""
+    Files.writeString(settings, "key_file = \"" + key.toAbsolutePath() + "\"\nseeds = \"" + seeds + "\"\n[self]\nname = \"" + m.name() + "\"\nlisten = \""
         + text(own.get(m.index())) + "\"\nadvertise = \"" + text(relays.address(m)) + "\"\nzone = " + m.zone()
         + "\nhistory = \"" + history(m).toAbsolutePath() + "\"\n[membership]\n" + plan.membership());
     Path log = folder.resolve(m.name() + ".log");
--- a/src/test/java/rillyard/member/net/FleetFileTest.java
+++ b/src/test/java/rillyard/member/net/FleetFileTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -33,6 +34,19 @@
     assertThat(s.listen().getPort()).isEqualTo(7400);
   }
 
+  @Test
+  void keysAreReadFromAFileThatOthersMayNotRead() throws Exception {
+    Path key = Files.writeString(folder.resolve("key"), "ab".repeat(32) + "\n" + "cd".repeat(32) + "\n");
+    String text = "key_file = \"" + key + "\"\n[self]\nlisten = \"127.0.0.1:7400\"\n";
+    Files.setPosixFilePermissions(key, PosixFilePermissions.fromString("rw-r--r--"));
+    assertThatThrownBy(() -> read(text)).hasMessageContaining("fleet.toml:1").hasMessageContaining("expected mode 600");
+    Files.setPosixFilePermissions(key, PosixFilePermissions.fromString("rw-------"));
+    assertThat(read(text).keys()).hasSize(2);
+    assertThat(read(text).member().room()).isEqualTo(256 - Seal.BYTES);
+    Files.writeString(key, "xy".repeat(32));
+    assertThatThrownBy(() -> read(text)).hasMessageContaining("key_file");
+  }
+
   @Test
   void allThatIsWrongIsToldByLine() {
     assertThatThrownBy(() -> read("seeds = \"10.1.0.4\"\n[self]\nname = \"more than sixteen letters\"\n"
