--- a/src/main/java/rillyard/member/Membership.java
+++ b/src/main/java/rillyard/member/Membership.java
@@ -44,8 +44,6 @@
 
   private static final double TELLS = 2.5;
 
-  private record Relayed(int sequence, String asker, Endpoint askerAt, double nackAt, double until) {}
-
   private final MemberSettings settings;
   private final Out out;
   private final List<Endpoint> seeds;
@@ -53,7 +51,7 @@
   private final Roster roster;
   private final Gossip gossip = new Gossip();
   private final LocalHealth health = new LocalHealth();
-  private final java.util.Map<Integer, Relayed> relayed = new java.util.LinkedHashMap<>();
+  private final Errands errands;
   private Update self;
   private Probe probe;
   private int sequence;
@@ -78,6 +76,7 @@
     this.seeds = List.copyOf(seeds);
     this.random = random;
     this.roster = new Roster(random);
+    this.errands = new Errands(settings);
     this.self = new Update(card, new Life(start, 0), Status.ALIVE, Update.by(card.name()));
   }
 
@@ -105,10 +104,7 @@
     s.append(' ').append(now - lastTick).append(' ').append(now - reachedOutAt).append(' ').append(now - pagedAt)
         .append(' ').append(now - toldAt);
     s.append(probe == null ? " -" : probe.state(now, sequence));
-    new java.util.TreeMap<>(roster.beliefs()).values().forEach(b ->
-        s.append("; ").append(b.word).append(now - b.since).append(' ').append(b.askAt - now).append(new java.util.TreeSet<>(b.accusers)));
-    relayed.forEach((k, r) -> s.append("; for ").append(r.asker()).append(r.nackAt() - now));
-    return s.append(gossip.state()).append(roster.state()).toString();
+    return s.append(errands.state(now)).append(gossip.state()).append(roster.state(now)).toString();
   }
 
   /** Members that are alive or suspected, this one among them. */
@@ -134,7 +130,7 @@
       stoodStill(now, gap);
     }
     lastTick = now;
-    nackOverdue(now);
+    errands.overdue(now).forEach(e -> send(Kind.NACK, e.sequence(), e.askerAt(), e.asker(), null));
     if (probe != null) {
       goOn(now);
     }
@@ -160,7 +156,7 @@
    */
   private void stoodStill(double now, double gap) {
     probe = null;
-    relayed.clear();
+    errands.clear();
     health.worse(2);
     roster.beliefs().values().stream().filter(b -> b.status() == Status.SUSPECT).forEach(b -> b.since += gap);
   }
@@ -293,17 +289,15 @@
         }
       }
       case ASK_FOR_ME -> {
-        if (relayed.size() < 4 * settings.most() && !m.target().equals(self.card().name())) {
-          double period = settings.interval();
-          relayed.put(++sequence,
-              new Relayed(m.sequence(), m.sender().card().name(), from, now + 0.8 * (period - settings.timeout()), now + 2 * period));
+        if (errands.room() && !m.target().equals(self.card().name())) {
+          errands.take(++sequence, m, from, now);
           send(Kind.PING, sequence, m.targetAt(), m.target(), null);
         }
       }
       case ACK -> {
-        Relayed r = relayed.remove(m.sequence());
-        if (r != null) {
-          send(Kind.ACK, r.sequence(), r.askerAt(), r.asker(), null);
+        Errands.Errand e = errands.answered(m.sequence());
+        if (e != null) {
+          send(Kind.ACK, e.sequence(), e.askerAt(), e.asker(), null);
         } else if (probe != null && probe.sequence == m.sequence()) {
           probe.answered = true;
         }
@@ -317,17 +311,6 @@
     }
   }
 
-  private void nackOverdue(double now) {
-    relayed.entrySet().removeIf(e -> {
-      Relayed r = e.getValue();
-      if (now >= r.nackAt()) {
-        send(Kind.NACK, r.sequence(), r.askerAt(), r.asker(), null);
-        return true;
-      }
-      return now >= r.until();
-    });
-  }
-
   /** A process of this member's own name speaks: the one that started later has the name. */
   private void namesake(double now, Update other) {
     if (other.life().start() > self.life().start() && believable(other, null)) {
--- a/src/main/java/rillyard/member/Roster.java
+++ b/src/main/java/rillyard/member/Roster.java
@@ -5,6 +5,8 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 
 /** The other members that are known, and in which order they are probed: a random one, dealt anew each round. */
@@ -139,9 +141,12 @@
     return null;
   }
 
-  /** Whose turn it is. */
-  String state() {
-    return "; " + round + next + " " + all + cursor;
+  /** What is believed, and whose turn it is. */
+  String state(double now) {
+    StringBuilder s = new StringBuilder();
+    new TreeMap<>(beliefs).values().forEach(b -> s.append("; ").append(b.word).append(now - b.since).append(' ')
+        .append(b.askAt - now).append(new TreeSet<>(b.accusers)));
+    return s + "; " + round + next + " " + all + cursor;
   }
 
   /** The next words in turn that fit into the room: page after page the whole table. */
