--- a/src/main/java/rillyard/trial/TrialFleet.java
+++ b/src/main/java/rillyard/trial/TrialFleet.java
@@ -5,6 +5,7 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermissions;
@@ -15,7 +16,6 @@
 import rillyard.ledger.Ledger;
 import rillyard.process.Child;
 import rillyard.process.Launch;
-import rillyard.process.ProxyProcess;
 import rillyard.standin.StandIn;
 import rillyard.standin.StandInPlanReader;
 
@@ -112,10 +112,18 @@
         + "\nhistory = \"" + history(m).toAbsolutePath() + "\"\n[membership]\n" + plan.membership());
     Path log = folder.resolve(m.name() + ".log");
     Launch told = launch.with("BALANCER_CONFIG", config.toAbsolutePath().toString())
-        .with("BALANCER_LISTEN", text(ProxyProcess.freeAddress()));
+        .with("BALANCER_LISTEN", text(freeFor(m)));
     children[m.index()] = Child.start(told, log, log, "proxy", "--fleet", settings.toAbsolutePath().toString());
   }
 
+  /** A port that is free on the process's own address, where nobody but this trial takes any. */
+  private InetSocketAddress freeFor(TrialMember m) throws IOException {
+    InetAddress address = own.get(m.index()).getAddress();
+    try (ServerSocket s = new ServerSocket(0, 1, address)) {
+      return new InetSocketAddress(address, s.getLocalPort());
+    }
+  }
+
   Child child(TrialMember m) {
     return children[m.index()];
   }
