Reading again: one view of the loop's context, not one a turn; burst and reload in a gap

Seen: TimedLooks made an object each turn of the loop and had an interface of its own for what the JDK's LongConsumer is; GapIT had no burst and no reload, which the issue asks for. Change: one AfterLook a loop; LongConsumer; final fields in QuietChannel; GapIT: 40 new connections and SIGHUP in a gap, three times.

--- a/src/main/java/rillyard/proxy/Proxy.java
+++ b/src/main/java/rillyard/proxy/Proxy.java
@@ -81,7 +81,7 @@
     return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop", true), sockets);
   }
 
-  /** The loop or the process stood still: who has waited past his time is told before anything is read. */
+  /** The loop or the process stood still: who has waited past their time is told before anything is read. */
   private void late(long nanos) {
     try {
       dispatcher.endOverdue(nanos);
--- a/src/main/java/rillyard/proxy/QuietChannel.java
+++ b/src/main/java/rillyard/proxy/QuietChannel.java
@@ -49,11 +49,16 @@
   private final ByteBuffer one = ByteBuffer.allocate(1);
   private boolean holding;
 
-  private Gaps gaps;
-  private long acceptTurn;
-  private long acceptedSince;
+  private final Gaps gaps;
+  private final long acceptTurn;
+  private final long acceptedSince;
 
-  QuietChannel() {}
+  /** One that connects to a host: nobody asks it how long its bytes have waited. */
+  QuietChannel() {
+    this.gaps = null;
+    this.acceptTurn = 0;
+    this.acceptedSince = 0;
+  }
 
   private QuietChannel(Channel parent, SocketChannel ch, Gaps gaps) {
     super(parent, ch);
--- a/src/main/java/rillyard/proxy/TimedLooks.java
+++ b/src/main/java/rillyard/proxy/TimedLooks.java
@@ -6,6 +6,7 @@
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.function.LongConsumer;
 import rillyard.gaps.Gaps;
 
 /**
@@ -16,23 +17,23 @@
   /** What is read later than this (ns) may be overdue; below it a turn's tasks find out soon enough. */
   private static final long LATE_NANOS = 20_000_000L;
 
-  /** Told of each late turn, before it reads anything. */
-  interface Late {
-    void after(long lateNanos);
-  }
-
   private final IoHandler sockets;
   private final Gaps gaps;
-  private final Late late;
+  private final LongConsumer late;
+  private final AfterLook afterLook = new AfterLook();
 
-  private TimedLooks(IoHandler sockets, Gaps gaps, Late late) {
+  private TimedLooks(IoHandler sockets, Gaps gaps, LongConsumer late) {
     this.sockets = sockets;
     this.gaps = gaps;
     this.late = late;
   }
 
-  /** Makes it for one loop, which alone uses {@code gaps} and {@code late}. */
-  static IoHandlerFactory factory(Gaps gaps, Late late) {
+  /**
+   * Makes it for one loop, which alone uses {@code gaps}.
+   *
+   * @param late told by how much (ns) a turn is late, before it reads anything
+   */
+  static IoHandlerFactory factory(Gaps gaps, LongConsumer late) {
     IoHandlerFactory nio = NioIoHandler.newFactory();
     return executor -> new TimedLooks(nio.newHandler(executor), gaps, late);
   }
@@ -41,7 +42,8 @@
   public int run(IoHandlerContext context) {
     long now = System.nanoTime();
     gaps.looking(now, context.canBlock() ? now + context.delayNanos(now) : now);
-    int handled = sockets.run(new AfterLook(context));
+    afterLook.context = context;
+    int handled = sockets.run(afterLook);
     if (handled == 0) {
       gaps.foundNothing();
     }
@@ -53,11 +55,7 @@
    * at which the wait is over and nothing is read yet (NioIoHandler.run, held by a test).
    */
   private final class AfterLook implements IoHandlerContext {
-    private final IoHandlerContext context;
-
-    AfterLook(IoHandlerContext context) {
-      this.context = context;
-    }
+    private IoHandlerContext context;
 
     @Override
     public boolean canBlock() {
@@ -83,7 +81,7 @@
     public boolean shouldReportActiveIoTime() {
       gaps.looked(System.nanoTime());
       if (gaps.late() > LATE_NANOS) {
-        late.after(gaps.late());
+        late.accept(gaps.late());
       }
       return context.shouldReportActiveIoTime();
     }
--- a/src/test/java/rillyard/proxy/GapIT.java
+++ b/src/test/java/rillyard/proxy/GapIT.java
@@ -26,6 +26,9 @@
   private static final int CLIENTS = 8;
   private static final int TIME_MS = 1_500;
 
+  /** More than a loop accepts in one turn. */
+  private static final int BURST = 40;
+
   /** The protocol's: a final answer may be late by so much (ms) before it counts as none. */
   private static final long SLACK_MS = 550;
 
@@ -122,6 +125,36 @@
     assertThat(seen.lost.get()).as("latest answer after %d ms", seen.latestMs.get()).isZero();
   }
 
+  /** More new connections than a loop accepts in one turn, and a reload, come while it stands still. */
+  @Test
+  void aBurstAndAReloadInAGapAreServed() throws Exception {
+    try (ScriptedServer silent = new ScriptedServer(Peer::awaitEnd);
+        ScriptedServer host = ScriptedServer.host(r -> ScriptedServer.ok("served"));
+        ProxyProcess p = launch(silent, host)) {
+      for (int round = 0; round < 3; round++) {
+        List<Peer> burst = new ArrayList<>();
+        try {
+          p.process().pause();
+          p.process().signal("HUP");
+          for (int i = 0; i < BURST; i++) {
+            Peer c = Peer.connect(p.address().getPort());
+            c.write(Rig.post("claim", TIME_MS, "", "x"));
+            burst.add(c);
+          }
+          Thread.sleep(300); // the gap itself
+          p.process().resume();
+          for (Peer c : burst) {
+            assertThat(c.read()).isNotNull();
+          }
+        } finally {
+          for (Peer c : burst) {
+            c.close();
+          }
+        }
+      }
+    }
+  }
+
   /** SIGTERM and new connections come while it stands still, for longer than it would accept them. */
   @Test
   void aDrainThatBeginsInAGapAnswersWhatCameInIt() throws Exception {
@@ -137,7 +170,7 @@
           Thread.sleep(1);
         }
         p.process().pause();
-        for (int i = 0; i < 40; i++) { // more than a loop accepts in one turn
+        for (int i = 0; i < BURST; i++) {
           Peer c = Peer.connect(p.address().getPort());
           c.write(Rig.post("claim", 2 * TIME_MS, "", "x"));
           waiting.add(c);
