Reading again: a member replaced while it stood still asks for its namesake and falls silent

Seen: the design says that one which was replaced and wakes late says no more, but nothing told it where its successor has another address: nobody writes to the old one, and words of others don't count. Line at fault: Membership.aboutSelf returned on a later life elsewhere. Change: it asks that address, once an interval at most; the successor's own word silences it. Test: MembershipTest, seen to fail without it. Also: suspects are kept, not looked for among all members twenty times a second; what words are possible is Credence; a method that nobody called is gone.

--- a/src/main/java/rillyard/member/MemberSettings.java
+++ b/src/main/java/rillyard/member/MemberSettings.java
@@ -1,6 +1,5 @@
 package rillyard.member;
 
-
 /**
  * How the fleet watches itself; the same for all members. Times are ms.
  *
@@ -49,5 +48,4 @@
   int transmits(int members) {
     return spread * Math.max(1, 32 - Integer.numberOfLeadingZeros(members));
   }
-
 }
--- a/src/main/java/rillyard/member/Membership.java
+++ b/src/main/java/rillyard/member/Membership.java
@@ -7,7 +7,8 @@
 
 /**
  * One member of the fleet, and what it believes of the others. Feed it messages and the time; it answers
- * through {@link Out}. Times are ms since its process started, by a clock that never goes back. Not safe for use from several threads at once.
+ * through {@link Out}. Times are ms since its process started, by a clock that never goes back. Not safe
+ * for use from several threads at once.
  */
 public final class Membership {
   /** What it does. */
@@ -19,12 +20,6 @@
     void changed(Change change);
   }
 
-  /** A word this far (ms) ahead of this machine's Unix time is no life that anyone can have. */
-  private static final long CLOCKS_APART = 3_600_000;
-
-  /** A word so much newer than the last known of the same process was made up: nobody speaks up so often. */
-  private static final int LEAP = 1_024;
-
   /** Datagrams with all that is known for one who joins: some 300 members; the rest comes by and by. */
   private static final int WELCOME = 32;
 
@@ -52,6 +47,7 @@
   private final Gossip gossip = new Gossip();
   private final LocalHealth health = new LocalHealth();
   private final Errands errands;
+  private final long started;
   private Update self;
   private Probe probe;
   private int sequence;
@@ -60,6 +56,7 @@
   private double reachedOutAt = Double.NEGATIVE_INFINITY;
   private double toldAt = Double.NEGATIVE_INFINITY;
   private double pagedAt = Double.NEGATIVE_INFINITY;
+  private double askedNamesakeAt = Double.NEGATIVE_INFINITY;
   private boolean over;
 
   /**
@@ -77,10 +74,11 @@
     this.random = random;
     this.roster = new Roster(random);
     this.errands = new Errands(settings);
+    this.started = start;
     this.self = new Update(card, new Life(start, 0), Status.ALIVE, Update.by(card.name()));
   }
 
-  /** This member's own word about itself. */
+  /** What this member says of itself. */
   public Update self() {
     return self;
   }
@@ -95,13 +93,11 @@
     return roster.beliefs().values().stream().map(b -> b.word).toList();
   }
 
-  /**
-   * All that its next steps depend on but chance, in words; times in it count from {@code now}.
-   */
+  /** All that its next steps depend on but chance, in words; times in it count from {@code now}. */
   String state(double now) {
     StringBuilder s = new StringBuilder().append(self).append(over).append(health.factor());
     s.append(' ').append(now - lastTick).append(' ').append(now - reachedOutAt).append(' ').append(now - pagedAt)
-        .append(' ').append(now - toldAt);
+        .append(' ').append(now - toldAt).append(' ').append(now - askedNamesakeAt);
     s.append(probe == null ? " -" : probe.state(now, sequence));
     return s.append(errands.state(now)).append(gossip.state()).append(roster.state(now)).toString();
   }
@@ -111,11 +107,6 @@
     return roster.present() + 1;
   }
 
-  /** What its times are multiplied by: 1 where it trusts itself. */
-  public int distrust() {
-    return health.factor();
-  }
-
   // --- time
 
   /** Time passes; to be called many times an interval. */
@@ -136,8 +127,7 @@
     if (probe == null) {
       begin(now);
     }
-    roster.beliefs().values().stream().filter(b -> b.status() == Status.SUSPECT).toList()
-        .forEach(b -> suspected(b, now));
+    roster.suspects().forEach(b -> suspected(b, now));
     if (!gossip.isEmpty() && now - toldAt >= settings.interval() / TELLS) {
       toldAt = now;
       roster.some(TELL, "", true).forEach(b -> send(Kind.NEWS, 0, b.word.card().at(), "", null));
@@ -157,7 +147,7 @@
     probe = null;
     errands.clear();
     health.worse(2);
-    roster.beliefs().values().stream().filter(b -> b.status() == Status.SUSPECT).forEach(b -> b.since += gap);
+    roster.suspects().forEach(b -> b.since += gap);
   }
 
   /**
@@ -313,29 +303,35 @@
     }
   }
 
-  /** A process of this member's own name speaks: the one that started later has the name. */
+  /** A process of this member's own name speaks: the one that started later has the name, and says so. */
   private void namesake(double now, Update other) {
-    if (other.life().start() > self.life().start() && believable(other, null)) {
+    if (other.life().start() < self.life().start()) {
+      send(Kind.NEWS, 0, other.card().at(), "", null);
+    } else if (other.life().start() > self.life().start() && possible(other.life(), null)) {
       over = true;
       out.changed(new Change(now, other, Status.ALIVE, other.card().name()));
     }
   }
 
-  private boolean believable(Update u, Belief known) {
-    boolean possible = u.life().start() <= self.life().start() + (long) latest + CLOCKS_APART;
-    if (known == null || known.word.life().start() != u.life().start()) {
-      return possible && u.life().incarnation() <= LEAP;
+  /** Others say that a later process has this member's name: only its own word counts, so it is asked. */
+  private void askNamesake(double now, Endpoint at) {
+    if (now - askedNamesakeAt >= settings.interval()) {
+      askedNamesakeAt = now;
+      send(Kind.PING, ++sequence, at, self.card().name(), null);
     }
-    return u.life().incarnation() <= known.word.life().incarnation() + LEAP;
+  }
+
+  private boolean possible(Life life, Life known) {
+    return Credence.possible(life, known, started + (long) latest);
   }
 
   private void heard(Update u, double now, String by) {
     if (u.card().name().equals(self.card().name())) {
-      aboutSelf(u);
+      aboutSelf(u, now);
       return;
     }
     Belief b = roster.get(u.card().name());
-    if (!believable(u, b)) {
+    if (!possible(u.life(), b == null ? null : b.word.life())) {
       return;
     }
     if (b == null) {
@@ -370,17 +366,17 @@
   }
 
   /** Others hold this member for ill or dead, or remember a life of its name before this one: it speaks up. */
-  private void aboutSelf(Update u) {
+  private void aboutSelf(Update u, double now) {
     boolean later = u.life().compareTo(self.life()) > 0;
-    if (u.life().start() > self.life().start()) {
-      // A life before this one that had a later start: this machine's clock was set back in between. One at
-      // another address may be a process that took the name over; it says so itself (namesake).
-      if (!believable(u, null) || !u.card().at().equals(self.card().at()) && u.status().present()) {
-        return;
-      }
-    } else if (u.life().start() == self.life().start() && u.life().incarnation() > self.life().incarnation() + LEAP) {
+    if (!possible(u.life(), self.life())) {
       return; // nobody but itself can have said so
     }
+    // A life before this one may have had a later start: this machine's clock was set back in between. One at
+    // another address may be a process that took the name over.
+    if (u.life().start() > self.life().start() && !u.card().at().equals(self.card().at()) && u.status().present()) {
+      askNamesake(now, u.card().at());
+      return;
+    }
     if (later || u.status() != Status.ALIVE && u.life().equals(self.life())) {
       Life newest = later ? u.life() : self.life();
       self = new Update(self.card(), newest.next(), Status.ALIVE, self.by());
@@ -391,8 +387,8 @@
   private void send(Kind kind, int seq, Endpoint to, String target, Endpoint targetAt) {
     List<String> first = new ArrayList<>(1);
     Belief about = target.isEmpty() ? null : roster.get(target);
-    if (about != null && about.status() != Status.ALIVE) {
-      first.add(target); // it hears first what is believed of it
+    if (about != null && (about.status() != Status.ALIVE || !about.word.card().at().equals(to))) {
+      first.add(target); // it hears first what is believed of it, or who has its name now
     }
     int room = settings.room() - Codec.emptySize(self, target, targetAt != null);
     List<Update> news =
--- a/src/main/java/rillyard/member/Probe.java
+++ b/src/main/java/rillyard/member/Probe.java
@@ -45,8 +45,8 @@
   }
 
   String state(double now, int newest) {
-    return " " + target.name() + (newest - sequence) + " " + (helpAt - now) + " " + (overAt - now) + " " + (againAt - now) + helpAsked + helpers
-        + nacks + answered;
+    return " " + target.name() + (newest - sequence) + " " + (helpAt - now) + " " + (overAt - now) + " "
+        + (againAt - now) + helpAsked + helpers + nacks + answered;
   }
 
   boolean over(double now) {
--- a/src/main/java/rillyard/member/Roster.java
+++ b/src/main/java/rillyard/member/Roster.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
@@ -14,6 +16,8 @@
   private final Map<String, Belief> beliefs = new HashMap<>();
   private final List<String> round = new ArrayList<>();
   private final List<String> all = new ArrayList<>();
+  /** Those that are suspected, in the order in which they came to be: asked for many times an interval. */
+  private final Set<Belief> suspects = new LinkedHashSet<>();
   private final RandomGenerator random;
   private int next;
   private int cursor;
@@ -28,6 +32,11 @@
     return beliefs;
   }
 
+  /** Suspects as of now; they may be changed meanwhile. */
+  List<Belief> suspects() {
+    return suspects.isEmpty() ? List.of() : new ArrayList<>(suspects);
+  }
+
   Belief get(String name) {
     return beliefs.get(name);
   }
@@ -44,6 +53,15 @@
     // At a random place, so that those who join together are not probed together for ever.
     round.add(round.isEmpty() ? 0 : random.nextInt(round.size() + 1), name);
     count(b.word, 1);
+    mark(b);
+  }
+
+  private void mark(Belief b) {
+    if (b.status() == Status.SUSPECT) {
+      suspects.add(b);
+    } else {
+      suspects.remove(b);
+    }
   }
 
   private void count(Update u, int sign) {
@@ -71,6 +89,7 @@
     b.word = word;
     b.since = now;
     b.accusers.clear();
+    mark(b);
   }
 
   /** Forgets members that have been dead or gone since before {@code until}; returns their names. */
@@ -146,6 +165,7 @@
     StringBuilder s = new StringBuilder();
     new TreeMap<>(beliefs).values().forEach(b -> s.append("; ").append(b.word).append(now - b.since).append(' ')
         .append(b.askAt - now).append(new TreeSet<>(b.accusers)));
+    suspects.forEach(b -> s.append(b.word.card().name()));
     return s + "; " + round + next + " " + all + cursor;
   }
 
--- a/src/main/java/rillyard/member/Update.java
+++ b/src/main/java/rillyard/member/Update.java
@@ -3,6 +3,9 @@
 /**
  * One word about a member.
  *
+ * @param card who it is
+ * @param life which of its lives, and which word of it, this is about
+ * @param status what it is held for
  * @param by a number for who first said so, made from its name; independent words are counted by it
  */
 public record Update(Card card, Life life, Status status, int by) {
--- a/src/test/java/rillyard/member/MembershipTest.java
+++ b/src/test/java/rillyard/member/MembershipTest.java
@@ -164,6 +164,21 @@
     assertThat(f.node(2).member.self().life().incarnation()).isZero();
   }
 
+  /** Its successor has another address: nobody writes to the old one any more, until it writes itself. */
+  @Test
+  void oneThatWasReplacedWhileItStoodStillFallsSilentSoonAfterItWakes() {
+    VirtualFleet f = joined(13, 20);
+    VirtualFleet.Node old = f.node(4);
+    f.stop(4, 20 * S);
+    f.run(10 * S);
+    VirtualFleet.Node successor = f.startElsewhere(4, 90);
+    f.run(10 * S);
+    assertThat(f.until(10 * S, old.member::over)).as("time (ms)").isNotNegative();
+    assertThat(successor.member.over()).isFalse();
+    f.run(10 * S);
+    assertThat(f.node(6).member.others()).contains(successor.member.self());
+  }
+
   @Test
   void aLaterProcessOfTheSameNameSilencesTheOldOneThatWakes() {
     VirtualFleet f = joined(11, 10);
--- a/src/test/java/rillyard/member/VirtualFleet.java
+++ b/src/test/java/rillyard/member/VirtualFleet.java
@@ -130,7 +130,12 @@
 
   /** Starts member {@code i}, also in the place of one that ended. */
   Node start(int i) {
-    Node n = new Node(name(i), i);
+    return startElsewhere(i, i);
+  }
+
+  /** Starts a process of that member's name at the address that member {@code place} would have. */
+  Node startElsewhere(int i, int place) {
+    Node n = new Node(name(i), place);
     nodes.put(n.name, n);
     byAddress.put(n.at, n);
     after(random.nextDouble() * TICK, n::tick);
