Reading again: trials excuse fewer deaths, leave no child at Ctrl-C; one reader of IP:port

Seen: a restart excused every later death of its process, and a cut also deaths between those who could hear each other; a trial ended while it started its processes could leave some; FleetFile had an address parser of its own that took 10.1.0.4.7400; a datagram could come before the member had its channel, and failures of our own in taking one were swallowed; each look at the end of a trial of 200 read all histories ten times a second. Change: excuses end 15 s after a restart and need the pair to be apart while a cut lasts; no start once the end has begun; input.Addresses serves files and commands; the channel is set before the first read.

--- a/src/main/java/rillyard/member/net/FleetFile.java
+++ b/src/main/java/rillyard/member/net/FleetFile.java
@@ -1,15 +1,18 @@
 package rillyard.member.net;
 
 import java.io.IOException;
+import java.net.Inet4Address;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import rillyard.input.Addresses;
 import rillyard.input.InvalidFileException;
 import rillyard.input.TomlTable;
 import rillyard.member.Card;
@@ -99,26 +102,21 @@
 
   /** An {@code IPv4:port}; names are not looked up. */
   private static Endpoint endpoint(TomlTable t, String key, String s) {
-    String[] part = s.split("[.:]", -1);
-    try {
-      if (part.length == 5) {
-        int ip = 0;
-        for (int i = 0; i < 4; i++) {
-          int b = Integer.parseInt(part[i]);
-          if (b < 0 || b > 255) {
-            throw new NumberFormatException(part[i]);
-          }
-          ip = ip << 8 | b;
-        }
-        return new Endpoint(ip, Integer.parseInt(part[4]));
-      }
-    } catch (IllegalArgumentException e) {
-      // told below
+    InetSocketAddress a = Addresses.parse(s);
+    if (a != null && a.getPort() > 0 && a.getAddress() instanceof Inet4Address) {
+      return endpoint(a);
+    }
+    if (!s.isEmpty()) { // that it is missing is told already
+      t.error(key, "found '" + s + "', expected IPv4:port, as 10.1.0.4:7400");
     }
-    t.error(key, "found '" + s + "', expected IPv4:port, as 10.1.0.4:7400");
     return new Endpoint(0x7F000001, 1);
   }
 
+  /** The endpoint of an IPv4 address. */
+  static Endpoint endpoint(InetSocketAddress a) {
+    return new Endpoint(ByteBuffer.wrap(a.getAddress().getAddress()).getInt(), a.getPort());
+  }
+
   static InetSocketAddress address(Endpoint e) {
     try {
       byte[] ip = {(byte) (e.ip() >> 24), (byte) (e.ip() >> 16), (byte) (e.ip() >> 8), (byte) e.ip()};
--- a/src/main/java/rillyard/member/net/FleetMember.java
+++ b/src/main/java/rillyard/member/net/FleetMember.java
@@ -5,8 +5,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
@@ -17,7 +17,6 @@
 import java.io.PrintStream;
 import java.net.Inet4Address;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import rillyard.member.Change;
@@ -40,7 +39,7 @@
   private final Membership member;
   private final History history;
   private final Seal seal;
-  private Channel channel;
+  private volatile Channel channel; // set on the loop, before the first datagram
   private long turnedAway;
 
   /**
@@ -54,7 +53,8 @@
     this.history = settings.history() == null ? null : new History(settings.history(), settings.card().name());
     this.seal = settings.keys().isEmpty() ? null
         : new Seal(settings.keys(), settings.card().at(), startedUnix, settings.member().most());
-    this.member = new Membership(settings.member(), settings.card(), startedUnix, settings.seeds(), new SplittableRandom(seed), new Doing());
+    this.member = new Membership(settings.member(), settings.card(), startedUnix, settings.seeds(),
+        new SplittableRandom(seed), new Doing());
   }
 
   /**
@@ -64,16 +64,14 @@
    */
   public void start() throws IOException {
     try {
-      channel =
-          new Bootstrap()
-              .group(group)
-              .channel(NioDatagramChannel.class)
-              // A byte more than any datagram may have: a longer one is seen to be longer, and turned away.
-              .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Codec.MAX_BYTES + 1))
-              .handler(new Incoming())
-              .bind(settings.listen())
-              .sync()
-              .channel();
+      new Bootstrap()
+          .group(group)
+          .channel(NioDatagramChannel.class)
+          // A byte more than any datagram may have: a longer one is seen to be longer, and turned away.
+          .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Codec.MAX_BYTES + 1))
+          .handler(new Incoming())
+          .bind(settings.listen())
+          .sync();
     } catch (Exception e) {
       close();
       throw new IOException("fleet: can't listen on " + settings.listen() + ": " + e.getMessage(), e);
@@ -115,14 +113,19 @@
   }
 
   private final class Incoming extends SimpleChannelInboundHandler<DatagramPacket> {
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+      channel = ctx.channel();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket p) {
       byte[] bytes = new byte[p.content().readableBytes()];
       p.content().readBytes(bytes);
       try {
         InetSocketAddress sender = p.sender();
-        if (sender.getAddress() instanceof Inet4Address ip) {
-          Endpoint from = new Endpoint(ByteBuffer.wrap(ip.getAddress()).getInt(), sender.getPort());
+        if (sender.getAddress() instanceof Inet4Address) {
+          Endpoint from = FleetFile.endpoint(sender);
           member.received(now(), from, Codec.decode(seal == null ? bytes : seal.open(from, bytes)));
         }
       } catch (IllegalArgumentException e) {
@@ -134,7 +137,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      // A port unreachable somewhere, told here: the socket goes on.
+      if (!(cause instanceof IOException)) { // a port that is unreachable somewhere is told here, and is none
+        log.println("rillyard: fleet: a datagram could not be taken: " + cause);
+      }
     }
   }
 
--- a/src/main/java/rillyard/member/net/Seal.java
+++ b/src/main/java/rillyard/member/net/Seal.java
@@ -3,7 +3,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -116,7 +115,7 @@
     if (known != null && replayed(s.opened, began, number)) {
       throw new IllegalArgumentException("opened before, or of an older process");
     }
-    for (SecretKeySpec key : new ArrayList<>(s.keys)) {
+    for (SecretKeySpec key : s.keys) {
       try {
         Cipher c = Cipher.getInstance("AES/GCM/NoPadding");
         c.init(Cipher.DECRYPT_MODE, key, new GCMParameterSpec(TAG_BITS, sealed, 1, 12));
--- a/src/main/java/rillyard/trial/Trial.java
+++ b/src/main/java/rillyard/trial/Trial.java
@@ -49,7 +49,11 @@
       try {
         return run(fleet);
       } finally {
-        Runtime.getRuntime().removeShutdownHook(end);
+        try {
+          Runtime.getRuntime().removeShutdownHook(end);
+        } catch (IllegalStateException e) {
+          // this process is told to end, and the hook ends the others
+        }
       }
     }
   }
@@ -64,8 +68,8 @@
     out.printf(Locale.ROOT, "all have found each other after %.1f s%n", (System.currentTimeMillis() - from) / 1e3);
     long begun = System.currentTimeMillis();
     List<TrialResult.Done> done = carryOut(fleet, begun);
-    Set<String> living = living(all, fleet);
-    return new TrialResult(plan, begun, done, living, read(fleet));
+    awaitEnd(fleet, all, begun + (long) plan.lasts());
+    return new TrialResult(plan, begun, done, living(all, fleet), read(fleet));
   }
 
   private static Beliefs read(TrialFleet fleet) throws IOException {
@@ -89,15 +93,19 @@
       if (System.nanoTime() > until) {
         throw new IOException("the processes did not find each other within " + mostMs / 1_000 + " s");
       }
-      Thread.sleep(POLL_MS * Math.max(1, fleet.members().size() / 20));
+      pause(fleet);
     }
   }
 
+  /** Each look reads all histories anew: the larger they are together, the seldomer. */
+  private static void pause(TrialFleet fleet) throws InterruptedException {
+    Thread.sleep(POLL_MS * Math.max(1, fleet.members().size() / 20));
+  }
+
   /** Waits until those that live agree, all faults being done, and no longer than until {@code most}. */
-  private static void awaitEnd(TrialFleet fleet, long most) throws Exception {
-    Set<String> all = fleet.members().stream().map(TrialMember::name).collect(Collectors.toSet());
+  private static void awaitEnd(TrialFleet fleet, Set<String> all, long most) throws Exception {
     while (System.currentTimeMillis() < most && read(fleet).agreedSince(living(all, fleet)) < 0) {
-      Thread.sleep(POLL_MS);
+      pause(fleet);
     }
   }
 
@@ -134,7 +142,6 @@
       }
       done.add(new TrialResult.Done(at, f, s.begin()));
     }
-    awaitEnd(fleet, begun + (long) plan.lasts());
     return done;
   }
 }
--- a/src/main/java/rillyard/trial/TrialFleet.java
+++ b/src/main/java/rillyard/trial/TrialFleet.java
@@ -38,6 +38,7 @@
   private final StandIn hosts;
   private final Path config;
   private final Path key;
+  private boolean over;
   final Relays relays;
 
   /**
@@ -101,14 +102,17 @@
   }
 
   /** Starts a process, also again under its old name and address. */
-  void start(TrialMember m) throws IOException {
+  synchronized void start(TrialMember m) throws IOException {
+    if (over) {
+      throw new IOException("the trial is over, " + m.name() + " is not started");
+    }
     StringBuilder seeds = new StringBuilder();
     for (TrialMember s : members.subList(0, Math.min(SEEDS, members.size()))) {
       seeds.append(seeds.isEmpty() ? "" : ",").append(text(relays.address(s)));
     }
     Path settings = folder.resolve(m.name() + ".toml");
-    Files.writeString(settings, "key_file = \"" + key.toAbsolutePath() + "\"\nseeds = \"" + seeds + "\"\n[self]\nname = \"" + m.name() + "\"\nlisten = \""
-        + text(own.get(m.index())) + "\"\nadvertise = \"" + text(relays.address(m)) + "\"\nzone = " + m.zone()
+    Files.writeString(settings, "key_file = \"" + key.toAbsolutePath() + "\"\nseeds = \"" + seeds
+        + "\"\n[self]\nname = \"" + m.name() + "\"\nlisten = \"" + text(own.get(m.index())) + "\"\nadvertise = \"" + text(relays.address(m)) + "\"\nzone = " + m.zone()
         + "\nhistory = \"" + history(m).toAbsolutePath() + "\"\n[membership]\n" + plan.membership());
     Path log = folder.resolve(m.name() + ".log");
     Launch told = launch.with("BALANCER_CONFIG", config.toAbsolutePath().toString())
@@ -150,8 +154,9 @@
     return a.getAddress().getHostAddress() + ":" + a.getPort();
   }
 
-  /** Ends every process, by force: what they believed is written down already. */
-  void killAll() {
+  /** Ends every process, by force: what they believed is written down already. None is started after. */
+  synchronized void killAll() {
+    over = true;
     for (Child c : children) {
       if (c != null) {
         try {
--- a/src/main/java/rillyard/trial/TrialResult.java
+++ b/src/main/java/rillyard/trial/TrialResult.java
@@ -70,11 +70,14 @@
     TrialMember about = member(b.about());
     for (Done d : done) {
       Fault f = d.fault();
-      boolean over = f.lasts() > 0 && b.at() > d.at() + f.lasts() + AFTERMATH_MS;
+      boolean forGood = f.kind() == Fault.Kind.KILL || f.kind() == Fault.Kind.TERM;
+      boolean over = !forGood && b.at() > d.at() + f.lasts() + AFTERMATH_MS;
       if (d.begin() && d.at() <= b.at() && !over) {
         boolean away = !f.kind().between() && f.on().has(about);
-        boolean cut = f.kind() == Fault.Kind.LOSE && f.share() > 0.9 && (f.on().has(about) || f.to().has(about)
-            || f.on().has(by) || f.to().has(by));
+        // Under a cut, who can hear each other must not hold each other dead; after it words of both sides mix.
+        boolean apart = f.touches(by, about) || f.touches(about, by);
+        boolean mixed = b.at() > d.at() + f.lasts() && (f.on().has(about) || f.to().has(about));
+        boolean cut = f.kind() == Fault.Kind.LOSE && f.share() > 0.9 && (apart || mixed);
         if (away || cut) {
           return true;
         }
--- a/src/test/java/rillyard/member/net/FleetFileTest.java
+++ b/src/test/java/rillyard/member/net/FleetFileTest.java
@@ -47,6 +47,15 @@
     assertThatThrownBy(() -> read(text)).hasMessageContaining("key_file");
   }
 
+  @Test
+  void anAddressIsFourNumbersAndAPortAndNothingElse() {
+    for (String bad : new String[] {"10.1.0.4.7400", "10:1:0:4:7400", "10.1.0.256:1", "10.1.0.4:0", "10.1.0.4:65536", "[::1]:7400"}) {
+      assertThatThrownBy(() -> read("[self]\nlisten = \"" + bad + "\"\n")).as(bad)
+          .hasMessageContaining("fleet.toml:2").hasMessageContaining("expected IPv4:port");
+    }
+    assertThatThrownBy(() -> read("[self]\nzone = 1\n")).hasMessageContaining("listen: is missing");
+  }
+
   @Test
   void allThatIsWrongIsToldByLine() {
     assertThatThrownBy(() -> read("seeds = \"10.1.0.4\"\n[self]\nname = \"more than sixteen letters\"\n"
