--- a/src/main/java/rillyard/cli/TrialCommand.java
+++ b/src/main/java/rillyard/cli/TrialCommand.java
@@ -2,11 +2,13 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import rillyard.process.Launch;
+import rillyard.trial.Nemesis;
 import rillyard.trial.Trial;
 import rillyard.trial.TrialPlanReader;
 import rillyard.trial.TrialResult;
@@ -29,7 +31,8 @@
       name = "run",
       description = {
         "Runs a plan and tells what the processes believed of each other (docs/membership.md). Ends with 1",
-        "if a process that could be heard was held dead, or if those that live don't agree in the end."
+        "if a process that could be heard was held dead, if those that live don't agree in the end, or if a",
+        "rule of the proxies was broken."
       },
       mixinStandardHelpOptions = true,
       versionProvider = Version.class)
@@ -44,6 +47,13 @@
         description = "The folder that holds deploy and target of the build to start (${DEFAULT-VALUE}).")
     private Path build;
 
+    @Option(names = "--nemesis", split = ",",
+        description = "Draws faults besides those of the plan: ${COMPLETION-CANDIDATES}.")
+    private Set<Nemesis.Kind> nemesis = Set.of();
+
+    @Option(names = "--seed", defaultValue = "1", description = "What they are drawn from (${DEFAULT-VALUE}).")
+    private long seed;
+
     @Override
     public Integer call() throws Exception {
       var read = TrialPlanReader.read(plan);
@@ -51,11 +61,19 @@
         System.err.println("rillyard: " + out + " is there already, expected a new folder");
         return Cli.USAGE;
       }
+      if (!Files.exists(build.resolve("deploy/proxy.jvm")) || !Files.exists(build.resolve("target/rillyard.jar"))) {
+        System.err.println("rillyard: no deploy/proxy.jvm and target/rillyard.jar in " + build + ", expected a build there");
+        return Cli.USAGE;
+      }
+      if (!nemesis.isEmpty()) {
+        System.out.println("nemesis of seed " + seed);
+        read = read.with(Nemesis.draw(read, nemesis, seed));
+      }
       TrialResult result = new Trial(read, out, System.out).run(Launch.platform(build.toAbsolutePath()));
       String report = result.report();
       Files.writeString(out.resolve("report.txt"), report);
       System.out.print(report);
-      return result.falseDeaths().isEmpty() && !Double.isNaN(result.agreedSeconds()) ? Cli.DONE : Cli.FAILED;
+      return result.good() ? Cli.DONE : Cli.FAILED;
     }
   }
 }
--- a/src/main/java/rillyard/load/HttpTransport.java
+++ b/src/main/java/rillyard/load/HttpTransport.java
@@ -30,6 +30,7 @@
   private final EventLoop loop;
   private final Bootstrap bootstrap;
   private final List<InetSocketAddress> targets;
+  private final boolean own;
   private final long idleNanos;
   private final boolean verify;
   private final java.util.function.Consumer<String> surplus;
@@ -41,7 +42,8 @@
   /**
    * Makes one; to be used on the loop.
    *
-   * @param targets taken in turn
+   * @param targets where requests go
+   * @param own whether each client has a target of its own, by its number; else they are taken in turn
    * @param idleMs a connection that has stood idle for so long is closed
    * @param verify whether an answer must be a stand-in's answer to the very request
    * @param surplus hears of the id behind whose answer more came
@@ -49,11 +51,13 @@
   HttpTransport(
       EventLoop loop,
       List<InetSocketAddress> targets,
+      boolean own,
       double idleMs,
       boolean verify,
       java.util.function.Consumer<String> surplus) {
     this.loop = loop;
     this.targets = targets;
+    this.own = own;
     this.idleNanos = (long) (1e6 * idleMs);
     this.verify = verify;
     this.surplus = surplus;
@@ -88,7 +92,7 @@
   }
 
   private void connect(HttpExchange e) {
-    ChannelFuture f = bootstrap.connect(targets.get(turn++ % targets.size()));
+    ChannelFuture f = bootstrap.connect(targets.get((own ? e.request().client() : turn++) % targets.size()));
     opened++;
     e.channel(f.channel());
     f.addListener(
--- a/src/main/java/rillyard/load/LoadRun.java
+++ b/src/main/java/rillyard/load/LoadRun.java
@@ -45,13 +45,18 @@
    */
   public LoadRun(
       LoadPlan plan, List<InetSocketAddress> targets, Ledger ledger, PrintStream progress) {
+    this(plan, targets, false, ledger, progress);
+  }
+
+  /** As above; with {@code own} each client has the target of its number, as an app beside its proxy. */
+  public LoadRun(LoadPlan plan, List<InetSocketAddress> targets, boolean own, Ledger ledger, PrintStream progress) {
     this.plan = plan;
     this.ledger = ledger;
     this.progress = progress;
     this.tally = new Tally(plan.seconds());
     this.transport =
         new HttpTransport(
-            loop, targets, plan.clients().idleMs(), plan.verify(), this::surplus);
+            loop, targets, own, plan.clients().idleMs(), plan.verify(), this::surplus);
     this.generator =
         new Generator(plan, new LoopTimers(loop), transport, ledger, tally, done::countDown);
   }
--- a/src/main/java/rillyard/member/net/FleetMember.java
+++ b/src/main/java/rillyard/member/net/FleetMember.java
@@ -84,7 +84,7 @@
   }
 
   private double now() {
-    return (System.nanoTime() - startedAt) / 1e6;
+    return (System.nanoTime() - startedAt) / 1e6 * settings.clockRate();
   }
 
   private void tick() {
--- a/src/main/java/rillyard/standin/Catalog.java
+++ b/src/main/java/rillyard/standin/Catalog.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.UnaryOperator;
 
 /** The list of hosts and the changes that made it, by version. Used on discovery's loop only. */
 final class Catalog {
@@ -66,28 +67,28 @@
     return since <= 0 || since > version || since < version - changes.size();
   }
 
-  /** The line that tells what came after a version, or the whole list. */
-  String since(long since) {
-    return line(whole(since), entriesSince(since));
+  /** The line that tells what came after a version, or the whole list; addresses as they are to be told. */
+  String since(long since, UnaryOperator<String> address) {
+    return line(whole(since), entriesSince(since), address);
   }
 
   /** The whole list. */
-  String all() {
-    return line(true, entries.values());
+  String all(UnaryOperator<String> address) {
+    return line(true, entries.values(), address);
   }
 
-  private String line(boolean full, Iterable<Entry> told) {
+  private String line(boolean full, Iterable<Entry> told, UnaryOperator<String> address) {
     ObjectNode n = JSON.createObjectNode().put("version", version).put("full", full);
     ArrayNode servers = n.putArray("servers");
-    told.forEach(e -> put(servers, e));
+    told.forEach(e -> put(servers, e, address));
     return n.toString();
   }
 
-  private static void put(ArrayNode servers, Entry e) {
+  private static void put(ArrayNode servers, Entry e, UnaryOperator<String> address) {
     servers
         .addObject()
         .put("id", e.spec().id())
-        .put("addr", e.address())
+        .put("addr", address.apply(e.address()))
         .put("zone", e.spec().zone())
         .put("kind", e.spec().kind())
         .put("cell", e.spec().cell())
--- a/src/main/java/rillyard/standin/DiscoveryServer.java
+++ b/src/main/java/rillyard/standin/DiscoveryServer.java
@@ -21,12 +21,14 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import rillyard.ledger.Ledger;
 import rillyard.ledger.Told;
 import rillyard.ledger.UnixClock;
@@ -40,16 +42,18 @@
   private final EventLoop loop;
   private final Catalog catalog;
   private final Ledger ledger;
+  private final AddressView view;
   private final Set<Watch> watches = new LinkedHashSet<>();
   private Channel listener;
   private long watchers;
   private boolean stale;
   private boolean silent;
 
-  DiscoveryServer(EventLoop loop, Catalog catalog, Ledger ledger) {
+  DiscoveryServer(EventLoop loop, Catalog catalog, Ledger ledger, AddressView view) {
     this.loop = loop;
     this.catalog = catalog;
     this.ledger = ledger;
+    this.view = view;
   }
 
   /** Listens; throws what the bind throws. */
@@ -112,6 +116,12 @@
     }
   }
 
+  /** The addresses that a caller is told. */
+  private UnaryOperator<String> told(Channel caller) {
+    InetAddress from = ((InetSocketAddress) caller.remoteAddress()).getAddress();
+    return address -> view.address(from, address);
+  }
+
   /** One watch. */
   private final class Watch {
     private final Channel channel;
@@ -135,7 +145,7 @@
         return;
       }
       begun = true;
-      write(catalog.since(version));
+      write(catalog.since(version, told(channel)));
       for (Catalog.Entry e : catalog.entriesSince(version)) {
         ledger.append(
             new Told(UnixClock.micros(), number, e.spec().id(), e.state(), catalog.version()));
@@ -181,7 +191,7 @@
         return;
       }
       if (!follow) {
-        respond(ctx, HttpResponseStatus.OK, catalog.all());
+        respond(ctx, HttpResponseStatus.OK, catalog.all(told(ctx.channel())));
         return;
       }
       DefaultHttpResponse answer =
--- a/src/main/java/rillyard/standin/ReadyFile.java
+++ b/src/main/java/rillyard/standin/ReadyFile.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.function.UnaryOperator;
 
 /** What a stand-in tells once it is ready: a proxy's configuration, and where all listens. */
 final class ReadyFile {
@@ -34,7 +35,7 @@
 
   private static JsonNode list(List<Catalog.Entry> entries) {
     try {
-      return JSON.readTree(new Catalog(entries).all());
+      return JSON.readTree(new Catalog(entries).all(UnaryOperator.identity()));
     } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
       throw new IllegalStateException(e); // never: it was made as JSON
     }
--- a/src/main/java/rillyard/standin/StandIn.java
+++ b/src/main/java/rillyard/standin/StandIn.java
@@ -31,6 +31,7 @@
 
   private final StandInPlan plan;
   private final Ledger ledger;
+  private final AddressView view;
   private final PrintStream errors;
   private final InetSocketAddress listen;
   private final EventLoopGroup loops;
@@ -64,7 +65,14 @@
    */
   public StandIn(
       StandInPlan plan, InetSocketAddress listen, int threads, Ledger ledger, PrintStream errors) {
+    this(plan, listen, threads, ledger, errors, AddressView.SAME);
+  }
+
+  /** As above, with addresses told to each caller as {@code view} has them. */
+  public StandIn(StandInPlan plan, InetSocketAddress listen, int threads, Ledger ledger, PrintStream errors,
+      AddressView view) {
     this.plan = plan;
+    this.view = view;
     this.listen = listen;
     this.ledger = ledger;
     this.errors = errors;
@@ -87,7 +95,7 @@
         h.start(any, s.startsCold());
         entries.add(entry(h, "up", s.startsCold()));
       }
-      discovery = new DiscoveryServer(control.next(), new Catalog(entries), ledger);
+      discovery = new DiscoveryServer(control.next(), new Catalog(entries), ledger, view);
       discoveryAddress = discovery.start(listen);
       controlAddress = new ControlServer(this).start(control, any);
     } catch (Exception e) {
--- a/src/main/java/rillyard/trial/Beliefs.java
+++ b/src/main/java/rillyard/trial/Beliefs.java
@@ -21,8 +21,13 @@
    *
    * @param at Unix time (ms)
    * @param about equals {@code member} where a process has just started and believes nothing yet
+   * @param line as the process wrote it
    */
-  record Belief(long at, String member, String about, String status) {
+  record Belief(long at, String member, String about, String status, String line) {
+    Belief(long at, String member, String about, String status) {
+      this(at, member, about, status, "");
+    }
+
     boolean present() {
       return status.equals("ALIVE") || status.equals("SUSPECT");
     }
@@ -58,12 +63,17 @@
         if (!n.path("at").canConvertToLong() || !n.hasNonNull("member") || !n.hasNonNull("about") || !n.hasNonNull("status")) {
           throw new IOException(file + ":" + number + ": expected at, member, about and status, found " + line);
         }
-        all.add(new Belief(n.path("at").asLong(), n.path("member").asText(), n.path("about").asText(), n.path("status").asText()));
+        all.add(new Belief(n.path("at").asLong(), n.path("member").asText(), n.path("about").asText(), n.path("status").asText(), line));
       }
     }
     return new Beliefs(all);
   }
 
+  /** Writes all lines into one file. */
+  void write(Path file) throws IOException {
+    Files.write(file, all.stream().map(Belief::line).toList());
+  }
+
   List<Belief> all() {
     return all;
   }
--- /dev/null
+++ b/src/main/java/rillyard/trial/HostRelays.java
@@ -0,0 +1,70 @@
+package rillyard.trial;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import rillyard.timing.Loops;
+
+/** The ways from each process of a trial to each host, and to discovery: a listener for each pair. */
+final class HostRelays implements AutoCloseable {
+  private final EventLoopGroup group = Loops.group(1, "host-relays");
+  private final EventLoop loop = group.next();
+  private final HostLinks faults = new HostLinks();
+  private final List<HostLink> links = new ArrayList<>();
+  /** By the process's address and the host's: what a process is told instead. */
+  private final Map<InetAddress, Map<String, String>> told = new HashMap<>();
+
+  /**
+   * Opens the ways of one process to one host.
+   *
+   * @param own the process's own address
+   * @return where the process is to call
+   * @throws Exception what the bind throws
+   */
+  synchronized InetSocketAddress open(TrialMember from, InetAddress own, String host, String zone, InetSocketAddress target)
+      throws Exception {
+    HostLink link = new HostLink(from, host, zone, target, loop, faults);
+    link.open(own);
+    links.add(link);
+    told.computeIfAbsent(own, a -> new HashMap<>()).put(text(target), text(link.address()));
+    return link.address();
+  }
+
+  /** What a process is told of a host's address; as it is where no way was opened. */
+  synchronized String told(InetAddress caller, String address) {
+    return told.getOrDefault(caller, Map.of()).getOrDefault(address, address);
+  }
+
+  void begin(Fault f) {
+    loop.execute(() -> {
+      faults.begin(f);
+      links().forEach(HostLink::changed);
+    });
+  }
+
+  void end(Fault f) {
+    loop.execute(() -> {
+      faults.end(f);
+      links().forEach(HostLink::changed);
+    });
+  }
+
+  private synchronized List<HostLink> links() {
+    return List.copyOf(links);
+  }
+
+  static String text(InetSocketAddress a) {
+    return a.getAddress().getHostAddress() + ":" + a.getPort();
+  }
+
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+  }
+}
--- a/src/main/java/rillyard/trial/Trial.java
+++ b/src/main/java/rillyard/trial/Trial.java
@@ -2,14 +2,24 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.stream.Collectors;
+import rillyard.ledger.Ledger;
+import rillyard.ledger.LedgerHead;
+import rillyard.ledger.UnixClock;
+import rillyard.load.LoadRun;
+import rillyard.load.Marks;
+import rillyard.load.Report;
+import rillyard.load.ReportFiles;
 import rillyard.process.Launch;
 
 /** Runs a plan: starts the processes, carries the timetable out, and tells what they believed. */
@@ -19,6 +29,11 @@
 
   private static final long JOIN_EACH_MS = 300;
   private static final long POLL_MS = 100;
+  private static final int STARTS_A_CORE = 2;
+  private static final long START_POLL_MS = 20;
+  private static final long SHOW_NANOS = 5_000_000_000L;
+  private static final String CLIENTS = "clients.jsonl";
+  private static final String HOSTS = "hosts.jsonl";
 
   /** One thing to do at its time. */
   private record Step(double at, Fault fault, boolean begin) {}
@@ -43,11 +58,21 @@
   public TrialResult run(Launch launch) throws Exception {
     out.println("seed " + plan.seed() + ", " + plan.processes() + " processes in " + plan.zones() + " zones");
     plan.faults().forEach(f -> out.println("  " + f));
-    try (TrialFleet fleet = new TrialFleet(plan, launch, folder)) {
+    Files.createDirectories(folder);
+    long now = UnixClock.micros();
+    LedgerHead head = new LedgerHead("clients", now, plan.seed());
+    TrialResult result;
+    Path config;
+    LoadRun load;
+    try (Ledger hosts = Ledger.open(file(HOSTS), new LedgerHead("hosts", now, plan.seed()));
+        Ledger clients = plan.load() == null ? Ledger.none() : Ledger.open(file(CLIENTS), head);
+        TrialFleet fleet = new TrialFleet(plan, launch, folder, hosts)) {
+      config = fleet.config();
+      load = plan.load() == null ? null : new LoadRun(plan.load(), fleet.serving(), true, clients, null);
       Thread end = new Thread(fleet::killAll, "trial-end");
       Runtime.getRuntime().addShutdownHook(end);
       try {
-        return run(fleet);
+        result = run(fleet, load);
       } finally {
         try {
           Runtime.getRuntime().removeShutdownHook(end);
@@ -56,22 +81,101 @@
         }
       }
     }
+    result.write(file("history.jsonl"));
+    if (load != null) {
+      audit(result, load, config);
+    }
+    return result;
   }
 
-  private TrialResult run(TrialFleet fleet) throws Exception {
-    long from = System.currentTimeMillis();
-    for (TrialMember m : fleet.members()) {
-      fleet.start(m);
+  private void audit(TrialResult result, LoadRun load, Path config) throws Exception {
+    result.served(TrialAudit.of(file(CLIENTS), file(HOSTS), config, plan, result.done()));
+    List<Report.Mark> marks = new ArrayList<>(Marks.read(file(HOSTS), load.startedMicros()));
+    for (TrialResult.Done d : result.done()) {
+      String where = d.fault().place() == Fault.Place.PROCESSES ? "processes" : "network";
+      marks.add(new Report.Mark((d.at() - load.startedMicros() / 1_000) / 1e3, where,
+          d.fault().words() + (d.begin() ? "" : " ends")));
     }
+    marks.sort(Comparator.comparingDouble(Report.Mark::at));
+    ReportFiles.write(folder, load.report(marks), "Trial of " + plan.processes() + " processes, seed " + plan.seed());
+  }
+
+  private Path file(String name) {
+    return folder.resolve(name);
+  }
+
+  private TrialResult run(TrialFleet fleet, LoadRun load) throws Exception {
+    long from = System.currentTimeMillis();
+    startAll(fleet);
     Set<String> all = fleet.members().stream().map(TrialMember::name).collect(Collectors.toSet());
     awaitAgreement(fleet, all, JOIN_MS + plan.processes() * JOIN_EACH_MS);
     out.printf(Locale.ROOT, "all have found each other after %.1f s%n", (System.currentTimeMillis() - from) / 1e3);
+    Thread asking = load == null ? null : asking(load);
+    fleet.hosts.startTimetable();
     long begun = System.currentTimeMillis();
-    List<TrialResult.Done> done = carryOut(fleet, begun);
-    awaitEnd(fleet, all, begun + (long) plan.lasts());
+    List<TrialResult.Done> done = new ArrayList<>();
+    try {
+      carryOut(fleet, begun, done);
+      awaitEnd(fleet, all, begun + (long) plan.lasts());
+      if (asking != null) {
+        asking.join();
+      }
+    } finally {
+      if (asking != null) {
+        load.interrupt();
+        asking.join();
+      }
+    }
     return new TrialResult(plan, begun, done, living(all, fleet), read(fleet));
   }
 
+  private static Thread asking(LoadRun load) {
+    Thread t = new Thread(() -> {
+      try {
+        load.run();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }, "clients");
+    t.start();
+    return t;
+  }
+
+  /** Starts them, some at a time: all at once they are so slow that they take each other for dead. */
+  private void startAll(TrialFleet fleet) throws Exception {
+    int atOnce = Math.max(4, STARTS_A_CORE * Runtime.getRuntime().availableProcessors());
+    Deque<TrialMember> starting = new ArrayDeque<>();
+    long shown = System.nanoTime();
+    int started = 0;
+    for (TrialMember m : fleet.members()) {
+      while (starting.size() >= atOnce) {
+        starting.removeIf(s -> Health.serves(fleet.serving().get(s.index())));
+        checkAlive(fleet, starting);
+        Thread.sleep(START_POLL_MS);
+      }
+      fleet.start(m);
+      starting.add(m);
+      started++;
+      if (System.nanoTime() - shown > SHOW_NANOS) {
+        shown = System.nanoTime();
+        out.println("started " + started + " of " + plan.processes());
+      }
+    }
+    while (!starting.isEmpty()) {
+      starting.removeIf(s -> Health.serves(fleet.serving().get(s.index())));
+      checkAlive(fleet, starting);
+      Thread.sleep(START_POLL_MS);
+    }
+  }
+
+  private static void checkAlive(TrialFleet fleet, Iterable<TrialMember> members) throws IOException {
+    for (TrialMember m : members) {
+      if (!fleet.child(m).alive()) {
+        throw new IOException(m.name() + " ended by itself; see its log");
+      }
+    }
+  }
+
   private static Beliefs read(TrialFleet fleet) throws IOException {
     return Beliefs.read(fleet.members().stream().map(fleet::history).toList());
   }
@@ -85,11 +189,7 @@
   private static void awaitAgreement(TrialFleet fleet, Set<String> living, long mostMs) throws Exception {
     long until = System.nanoTime() + mostMs * 1_000_000;
     while (read(fleet).agreedSince(living) < 0) {
-      for (TrialMember m : fleet.members()) {
-        if (!fleet.child(m).alive()) {
-          throw new IOException(m.name() + " ended by itself; see its log");
-        }
-      }
+      checkAlive(fleet, fleet.members());
       if (System.nanoTime() > until) {
         throw new IOException("the processes did not find each other within " + mostMs / 1_000 + " s");
       }
@@ -109,7 +209,7 @@
     }
   }
 
-  private List<TrialResult.Done> carryOut(TrialFleet fleet, long begun) throws Exception {
+  private void carryOut(TrialFleet fleet, long begun, List<TrialResult.Done> done) throws Exception {
     List<Step> steps = new ArrayList<>();
     for (Fault f : plan.faults()) {
       steps.add(new Step(f.at(), f, true));
@@ -118,30 +218,40 @@
       }
     }
     steps.sort(Comparator.comparingDouble(Step::at));
-    List<TrialResult.Done> done = new ArrayList<>();
     for (Step s : steps) {
       Thread.sleep(Math.max(0, begun + (long) s.at() - System.currentTimeMillis()));
-      Fault f = s.fault();
       long at = System.currentTimeMillis();
-      if (f.kind().between()) {
+      carryOut(fleet, s);
+      done.add(new TrialResult.Done(at, s.fault(), s.begin()));
+    }
+  }
+
+  private static void carryOut(TrialFleet fleet, Step s) throws Exception {
+    Fault f = s.fault();
+    switch (f.place()) {
+      case DATAGRAMS -> {
         if (s.begin()) {
           fleet.relays.begin(f);
         } else {
           fleet.relays.end(f);
         }
-      } else {
+      }
+      case CONNECTIONS -> {
+        if (s.begin()) {
+          fleet.ways.begin(f);
+        } else {
+          fleet.ways.end(f);
+        }
+      }
+      case PROCESSES -> {
         for (TrialMember m : fleet.members()) {
-          if (f.on().has(m)) {
-            if (s.begin()) {
-              fleet.act(f.kind(), m);
-            } else {
-              fleet.resume(m);
-            }
+          if (f.on().has(m) && s.begin()) {
+            fleet.begin(f, m);
+          } else if (f.on().has(m)) {
+            fleet.end(f, m);
           }
         }
       }
-      done.add(new TrialResult.Done(at, f, s.begin()));
     }
-    return done;
   }
 }
--- a/src/main/java/rillyard/trial/TrialFleet.java
+++ b/src/main/java/rillyard/trial/TrialFleet.java
@@ -1,6 +1,7 @@
 package rillyard.trial;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -17,91 +18,102 @@
 import rillyard.process.Child;
 import rillyard.process.Launch;
 import rillyard.standin.StandIn;
-import rillyard.standin.StandInPlanReader;
 
-/** The processes of a trial, each with a folder, an address of its own and a relay before it. */
+/** The processes of a trial and what they need: hosts, a folder, addresses of its own and relays before each. */
 final class TrialFleet implements AutoCloseable {
   /** Processes that all others may ask for the way in. */
   private static final int SEEDS = 3;
 
-  private static final int HOSTS = 4;
-
-  /** What a process takes (KiB): some 70 MB resident, and room for what it grows by. */
-  private static final long EACH_KB = 90_000;
+  private static final ObjectMapper JSON = new ObjectMapper();
 
   private final TrialPlan plan;
   private final Path folder;
   private final Launch launch;
   private final List<TrialMember> members;
   private final List<InetSocketAddress> own = new ArrayList<>();
+  private final List<InetSocketAddress> serving = new ArrayList<>();
   private final Child[] children;
-  private final StandIn hosts;
-  private final Path config;
   private final Path key;
   private boolean over;
+  final StandIn hosts;
   final Relays relays;
+  final HostRelays ways = new HostRelays();
+  final Starving starving = new Starving();
 
   /**
    * Takes addresses and starts the hosts; processes are started by {@link #start}.
    *
-   * @throws IOException if memory won't do for so many, or an address can't be had
+   * @param ledger of the hosts; stays open behind the fleet
+   * @throws IOException if memory or descriptors won't do for so many, or an address can't be had
    */
-  TrialFleet(TrialPlan plan, Launch launch, Path folder) throws Exception {
+  TrialFleet(TrialPlan plan, Launch launch, Path folder, Ledger ledger) throws Exception {
     this.plan = plan;
     this.folder = folder;
     this.launch = launch;
     this.members = plan.members();
     this.children = new Child[members.size()];
-    checkMemory(members.size());
-    Files.createDirectories(folder);
+    Room.check(members.size(), plan.hosts().hosts().size());
     long pid = ProcessHandle.current().pid();
     for (TrialMember m : members) {
       // A network of this trial's own, so that a port that was free a moment ago is free still.
       byte[] ip = {127, (byte) (10 + pid % 200), (byte) (m.index() / 250), (byte) (1 + m.index() % 250)};
       InetAddress address = InetAddress.getByAddress(ip);
-      try (DatagramSocket s = new DatagramSocket(0, address)) {
+      try (DatagramSocket s = new DatagramSocket(0, address); ServerSocket t = new ServerSocket(0, 1, address)) {
         own.add(new InetSocketAddress(address, s.getLocalPort()));
+        serving.add(new InetSocketAddress(address, t.getLocalPort()));
       }
     }
     this.relays = new Relays(members, own, new LinkFaults(plan.seed()));
-    this.hosts =
-        new StandIn(StandInPlanReader.standard(HOSTS), new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 1,
-            Ledger.none(), System.err);
+    this.hosts = new StandIn(plan.hosts(), new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 2, ledger,
+        System.err, (caller, address) -> ways.told(caller, address));
     hosts.start();
-    this.config = folder.resolve("config.json");
     this.key = folder.resolve("fleet.key");
     byte[] bytes = new byte[32];
     new SecureRandom().nextBytes(bytes);
     Files.writeString(key, HexFormat.of().formatHex(bytes));
     Files.setPosixFilePermissions(key, PosixFilePermissions.fromString("rw-------"));
-    new ObjectMapper().writeValue(config.toFile(), hosts.ready());
+    JSON.writeValue(config().toFile(), hosts.ready());
+    for (TrialMember m : members) {
+      configure(m);
+    }
   }
 
-  private static void checkMemory(int processes) throws IOException {
-    Path meminfo = Path.of("/proc/meminfo");
-    if (!Files.exists(meminfo)) {
-      return;
-    }
-    for (String line : Files.readAllLines(meminfo)) {
-      if (line.startsWith("MemAvailable:")) {
-        long kb = Long.parseLong(line.replaceAll("\\D", ""));
-        if (kb < processes * EACH_KB) {
-          throw new IOException(processes + " processes take some " + processes * EACH_KB / 1_000 + " MB, "
-              + kb / 1_000 + " MB are free: " + kb / EACH_KB + " would do");
-        }
-      }
+  /** Opens a process's ways to discovery and to all hosts, and writes its configuration. */
+  private void configure(TrialMember m) throws Exception {
+    InetAddress address = own.get(m.index()).getAddress();
+    ObjectNode c = hosts.ready();
+    InetSocketAddress discovery = ways.open(m, address, HostGroup.DISCOVERY, "", hosts.discovery());
+    c.put("name", m.name()).put("listen", text(serving.get(m.index()))).put("discovery", text(discovery));
+    for (var s : c.path("known").path("servers")) {
+      String host = s.path("id").asText();
+      InetSocketAddress way = ways.open(m, address, host, s.path("zone").asText(), hosts.address(host));
+      ((ObjectNode) s).put("addr", text(way));
     }
+    ObjectNode settings = (ObjectNode) c.path("settings");
+    settings.put("balancers", members.size()).put("position", m.index());
+    settings.put("zone", settings.path("zones").path(m.zone() % settings.path("zones").size()).asText());
+    JSON.writeValue(folder.resolve(m.name() + ".json").toFile(), c);
+  }
+
+  /** The configuration of a proxy before these hosts, for the auditor. */
+  Path config() {
+    return folder.resolve("config.json");
   }
 
   List<TrialMember> members() {
     return members;
   }
 
+  /** Where the processes serve, in their order. */
+  List<InetSocketAddress> serving() {
+    return serving;
+  }
+
   Path history(TrialMember m) {
     return folder.resolve(m.name() + ".history");
   }
 
-  /** Starts a process, also again under its old name and address. */
+  /** Starts a process, also again under its old name and addresses. */
   synchronized void start(TrialMember m) throws IOException {
     if (over) {
       throw new IOException("the trial is over, " + m.name() + " is not started");
@@ -112,46 +124,45 @@
     }
     Path settings = folder.resolve(m.name() + ".toml");
     Files.writeString(settings, "key_file = \"" + key.toAbsolutePath() + "\"\nseeds = \"" + seeds
-        + "\"\n[self]\nname = \"" + m.name() + "\"\nlisten = \"" + text(own.get(m.index())) + "\"\nadvertise = \"" + text(relays.address(m)) + "\"\nzone = " + m.zone()
-        + "\nhistory = \"" + history(m).toAbsolutePath() + "\"\n[membership]\n" + plan.membership());
+        + "\"\n[self]\nname = \"" + m.name() + "\"\nlisten = \"" + text(own.get(m.index())) + "\"\nadvertise = \""
+        + text(relays.address(m)) + "\"\nzone = " + m.zone() + "\nregion = " + m.region()
+        + "\nhistory = \"" + history(m).toAbsolutePath() + "\"\n[test]\nclock_rate = " + plan.clockRate(m)
+        + "\n[membership]\n" + plan.membership());
     Path log = folder.resolve(m.name() + ".log");
-    Launch told = launch.with("BALANCER_CONFIG", config.toAbsolutePath().toString())
-        .with("BALANCER_LISTEN", text(freeFor(m)));
+    Path config = folder.resolve(m.name() + ".json");
+    Launch told = launch.with("BALANCER_CONFIG", config.toAbsolutePath().toString());
     children[m.index()] = Child.start(told, log, log, "proxy", "--fleet", settings.toAbsolutePath().toString());
   }
 
-  /** A port that is free on the process's own address, where nobody but this trial takes any. */
-  private InetSocketAddress freeFor(TrialMember m) throws IOException {
-    InetAddress address = own.get(m.index()).getAddress();
-    try (ServerSocket s = new ServerSocket(0, 1, address)) {
-      return new InetSocketAddress(address, s.getLocalPort());
-    }
-  }
-
   Child child(TrialMember m) {
     return children[m.index()];
   }
 
-  /** Carries out what is done to a process; STOP lasts until {@link #resume}. */
-  void act(Fault.Kind kind, TrialMember m) throws IOException, InterruptedException {
-    switch (kind) {
+  /** Begins what is done to a process; what lasts does until {@link #end}. */
+  void begin(Fault f, TrialMember m) throws IOException, InterruptedException {
+    switch (f.kind()) {
       case KILL -> child(m).kill();
       case TERM -> child(m).terminate();
       case STOP -> child(m).pause();
+      case STARVE -> starving.begin(child(m), f.share());
       case RESTART -> {
         child(m).kill();
         start(m);
       }
-      default -> throw new IllegalArgumentException(kind + " is done to no process");
+      default -> throw new IllegalArgumentException(f.kind() + " is done to no process");
     }
   }
 
-  void resume(TrialMember m) throws IOException, InterruptedException {
-    child(m).resume();
+  void end(Fault f, TrialMember m) throws IOException, InterruptedException {
+    if (f.kind() == Fault.Kind.STARVE) {
+      starving.end(child(m));
+    } else if (child(m).alive()) {
+      child(m).resume();
+    }
   }
 
   private static String text(InetSocketAddress a) {
-    return a.getAddress().getHostAddress() + ":" + a.getPort();
+    return HostRelays.text(a);
   }
 
   /** Ends every process, by force: what they believed is written down already. None is started after. */
@@ -170,8 +181,10 @@
 
   @Override
   public void close() {
+    starving.close();
     killAll();
     relays.close();
+    ways.close();
     hosts.close();
   }
 }
--- a/src/main/java/rillyard/trial/TrialPlan.java
+++ b/src/main/java/rillyard/trial/TrialPlan.java
@@ -1,18 +1,50 @@
 package rillyard.trial;
 
 import java.util.List;
+import rillyard.load.LoadPlan;
+import rillyard.standin.StandInPlan;
 
 /**
  * What a trial starts and does.
  *
  * @param processes how many processes of this program
  * @param zones processes are dealt to them in turn
+ * @param regions zones are dealt to them in turn
  * @param lasts ms of the timetable, from when all have found each other
  * @param membership lines for the {@code [membership]} table of each process's settings
+ * @param hosts what the processes send to; its own faults begin with the timetable
+ * @param load what clients ask of the processes, client k of number k modulo the processes; null for nothing
+ * @param clocks processes whose clocks go wrong
  */
-public record TrialPlan(
-    long seed, int processes, int zones, double lasts, String membership, List<Fault> faults) {
+public record TrialPlan(long seed, int processes, int zones, int regions, double lasts, String membership,
+    StandInPlan hosts, LoadPlan load, List<Clock> clocks, List<Fault> faults) {
+  /** Copies the lists. */
+  public TrialPlan {
+    clocks = List.copyOf(clocks);
+    faults = List.copyOf(faults);
+  }
+
+  /** Processes whose clock passes so many ms in one. */
+  record Clock(Group on, double rate) {}
+
   List<TrialMember> members() {
-    return java.util.stream.IntStream.range(0, processes).mapToObj(i -> TrialMember.of(i, zones)).toList();
+    return java.util.stream.IntStream.range(0, processes).mapToObj(this::member).toList();
+  }
+
+  TrialMember member(int index) {
+    return TrialMember.of(index, zones, regions);
+  }
+
+  /** The rate of a process's clock, 1 as a rule. */
+  double clockRate(TrialMember m) {
+    return clocks.stream().filter(c -> c.on().has(m)).mapToDouble(Clock::rate).findFirst().orElse(1);
+  }
+
+  /** The same with these faults besides. */
+  public TrialPlan with(List<Fault> more) {
+    List<Fault> all = new java.util.ArrayList<>(faults);
+    all.addAll(more);
+    all.sort(java.util.Comparator.comparingDouble(Fault::at));
+    return new TrialPlan(seed, processes, zones, regions, lasts, membership, hosts, load, clocks, all);
   }
 }
--- a/src/main/java/rillyard/trial/TrialPlanReader.java
+++ b/src/main/java/rillyard/trial/TrialPlanReader.java
@@ -7,10 +7,15 @@
 import java.util.Locale;
 import rillyard.input.InvalidFileException;
 import rillyard.input.TomlTable;
+import rillyard.load.LoadPlan;
+import rillyard.load.LoadPlanReader;
+import rillyard.standin.StandInPlan;
+import rillyard.standin.StandInPlanReader;
 
 /** Reads the plan of a trial. */
 public final class TrialPlanReader {
   private static final int MOST = 1_000;
+  private static final int HOSTS = 4;
 
   private TrialPlanReader() {}
 
@@ -20,19 +25,23 @@
    * @throws InvalidFileException with all findings, by line
    */
   public static TrialPlan read(Path file) throws InvalidFileException {
-    return read(TomlTable.read(file));
+    return read(TomlTable.read(file), file.toAbsolutePath().getParent());
   }
 
-  /** Reads a text; {@code name} stands for it in findings. */
-  public static TrialPlan parse(String name, String text) throws InvalidFileException {
-    return read(TomlTable.parse(name, text));
+  /** Reads a text; {@code name} stands for it in findings, files that it names are looked up in {@code in}. */
+  public static TrialPlan parse(String name, String text, Path in) throws InvalidFileException {
+    return read(TomlTable.parse(name, text), in);
   }
 
-  private static TrialPlan read(TomlTable root) throws InvalidFileException {
+  private static TrialPlan read(TomlTable root, Path beside) throws InvalidFileException {
     long seed = root.whole("seed", 1, 0, Long.MAX_VALUE);
     int processes = (int) root.whole("processes", 12, 2, MOST);
     int zones = (int) root.whole("zones", 1, 1, 200);
-    double lasts = 1_000 * root.number("for_s", 30, 1, 3_600);
+    int regions = (int) root.whole("regions", 1, 1, 200);
+    String hosts = root.text("hosts", null);
+    String load = root.text("load", null);
+    LoadPlan asked = load == null ? null : LoadPlanReader.read(beside.resolve(load));
+    double lasts = 1_000 * root.number("for_s", asked == null ? 30 : asked.seconds(), 1, 3_600);
     TomlTable m = root.table("membership");
     String membership = String.format(Locale.ROOT, "interval_ms = %s%ntimeout_ms = %s%n",
         m.number("interval_ms", 500, 100, 60_000), m.number("timeout_ms", 150, 10, 30_000));
@@ -40,22 +49,33 @@
     for (TomlTable t : root.tables("fault")) {
       faults.add(fault(t, lasts));
     }
+    List<TrialPlan.Clock> clocks = new ArrayList<>();
+    for (TomlTable t : root.tables("clock")) {
+      clocks.add(new TrialPlan.Clock(group(t, "on"), t.number("rate", 1, 0.01, 100)));
+    }
     root.finish();
     faults.sort(Comparator.comparingDouble(Fault::at));
-    return new TrialPlan(seed, processes, zones, lasts, membership, List.copyOf(faults));
+    StandInPlan served = hosts == null ? StandInPlanReader.standard(HOSTS) : StandInPlanReader.read(beside.resolve(hosts), 0);
+    return new TrialPlan(seed, processes, zones, regions, lasts, membership, served, asked, clocks, faults);
   }
 
   private static Fault fault(TomlTable t, double lasts) {
     Fault.Kind kind = t.choice("kind", Fault.Kind.class, Fault.Kind.KILL);
     double at = 1_000 * t.number("at_s", 0, 0, lasts / 1_000);
+    Fault.Place place = kind.place;
     Group on = group(t, "on");
-    boolean between = kind.between();
-    Group to = between ? group(t, "to") : on;
-    boolean lastsFor = between || kind == Fault.Kind.STOP;
-    double forMs = lastsFor ? 1_000 * t.number("for_s", 5, 0.05, 3_600) : 0;
-    double share = between && kind != Fault.Kind.DELAY ? t.number("share", 1, 0, 1) : 0;
-    double late = kind == Fault.Kind.DELAY ? t.number("late_ms", 50, 0, 60_000) : 0;
-    return new Fault(at, kind, on, to, between && t.flag("one_way", false), forMs, share, late);
+    Group to = place == Fault.Place.DATAGRAMS ? group(t, "to") : on;
+    HostGroup hosts = place == Fault.Place.CONNECTIONS ? new HostGroup(t.text("hosts", "all")) : HostGroup.NONE;
+    double forMs = kind.lasting() ? 1_000 * t.number("for_s", 5, 0.05, 3_600) : 0;
+    double share =
+        switch (kind) {
+          case LOSE, DOUBLE -> t.number("share", 1, 0, 1);
+          case STARVE -> t.number("share", 0.9, 0.1, 0.99);
+          default -> 0;
+        };
+    double late = kind == Fault.Kind.DELAY || kind == Fault.Kind.SLOW ? t.number("late_ms", 50, 0, 60_000) : 0;
+    boolean oneWay = place == Fault.Place.DATAGRAMS && t.flag("one_way", false);
+    return new Fault(at, kind, on, to, hosts, oneWay, forMs, share, late);
   }
 
   private static Group group(TomlTable t, String key) {
--- a/src/main/java/rillyard/trial/TrialResult.java
+++ b/src/main/java/rillyard/trial/TrialResult.java
@@ -1,5 +1,7 @@
 package rillyard.trial;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -23,6 +25,7 @@
   private final List<Done> done;
   private final Set<String> living;
   private final Beliefs beliefs;
+  private TrialAudit audit;
 
   TrialResult(TrialPlan plan, long begun, List<Done> done, Set<String> living, Beliefs beliefs) {
     this.plan = plan;
@@ -32,6 +35,31 @@
     this.beliefs = beliefs;
   }
 
+  /** What of the timetable was carried out, in its order. */
+  List<Done> done() {
+    return done;
+  }
+
+  /** The audit of what clients asked for. */
+  void served(TrialAudit a) {
+    this.audit = a;
+  }
+
+  /** The audit of what clients asked for; null where they asked for nothing. */
+  public TrialAudit audit() {
+    return audit;
+  }
+
+  /** Whether nobody who could be heard was held dead, all agree in the end, and no rule was broken. */
+  public boolean good() {
+    return falseDeaths().isEmpty() && !Double.isNaN(agreedSeconds()) && (audit == null || audit.verdict().clean());
+  }
+
+  /** Writes what all believed, one line for each change, in the order of their times. */
+  void write(Path file) throws IOException {
+    beliefs.write(file);
+  }
+
   /** The names of those that live in the end. */
   public Set<String> living() {
     return living;
@@ -73,10 +101,10 @@
       boolean forGood = f.kind() == Fault.Kind.KILL || f.kind() == Fault.Kind.TERM;
       boolean over = !forGood && b.at() > d.at() + f.lasts() + AFTERMATH_MS;
       if (d.begin() && d.at() <= b.at() && !over) {
-        boolean away = !f.kind().between() && f.on().has(about);
+        boolean away = f.place() == Fault.Place.PROCESSES && f.kind() != Fault.Kind.STARVE && f.on().has(about);
         // Under a cut, who can hear each other must not hold each other dead; after it words of both sides mix.
         boolean apart = f.touches(by, about) || f.touches(about, by);
-        boolean mixed = b.at() > d.at() + f.lasts() && (f.on().has(about) || f.to().has(about));
+        boolean mixed = f.place() == Fault.Place.DATAGRAMS && b.at() > d.at() + f.lasts() && (f.on().has(about) || f.to().has(about));
         boolean cut = f.kind() == Fault.Kind.LOSE && f.share() > 0.9 && (apart || mixed);
         if (away || cut) {
           return true;
@@ -87,7 +115,7 @@
   }
 
   private TrialMember member(String name) {
-    return TrialMember.of(Integer.parseInt(name.substring(1)), plan.zones());
+    return plan.member(Integer.parseInt(name.substring(1)));
   }
 
   /** The result in words, faults among them. */
@@ -95,7 +123,7 @@
     StringBuilder s = new StringBuilder();
     for (Done d : done) {
       Fault f = d.fault();
-      if (!d.begin() || f.kind().between()) {
+      if (!d.begin() || f.place() != Fault.Place.PROCESSES || f.kind() == Fault.Kind.STARVE) {
         continue;
       }
       for (TrialMember m : plan.members()) {
@@ -121,6 +149,13 @@
         s.append("  ").append(e.getKey()).append(" holds ").append(e.getValue().size()).append(" present\n");
       }
     }
+    if (audit != null) {
+      s.append(String.format(Locale.ROOT, "%d tries, %d of them owed no answer (their process was halted under them), "
+          + "%d receipts of hosts: %d broken rules%n", audit.verdict().tries(), audit.notOwed(), audit.verdict().runs(),
+          audit.verdict().breaches().size()));
+      audit.verdict().breaches().stream().limit(10).forEach(b -> s.append("  ").append(b.rule()).append(": ").append(b.what()).append('\n'));
+      audit.verdict().doubts().forEach(d -> s.append("  doubt: ").append(d).append('\n'));
+    }
     return s.toString();
   }
 }
--- a/src/test/java/rillyard/standin/CatalogTest.java
+++ b/src/test/java/rillyard/standin/CatalogTest.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.List;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 
 class CatalogTest {
@@ -20,17 +21,17 @@
   @Test
   void tellsTheWholeListOrWhatChangedSince() throws Exception {
     Catalog c = new Catalog(List.of(entry("a", "up"), entry("b", "up")));
-    assertThat(json(c.since(0)).path("full").asBoolean()).isTrue();
-    assertThat(json(c.since(0)).path("servers")).hasSize(2);
+    assertThat(json(c.since(0, UnaryOperator.identity())).path("full").asBoolean()).isTrue();
+    assertThat(json(c.since(0, UnaryOperator.identity())).path("servers")).hasSize(2);
     c.change(entry("a", "draining"));
     c.change(entry("a", "removed"));
-    JsonNode since = json(c.since(1));
+    JsonNode since = json(c.since(1, UnaryOperator.identity()));
     assertThat(since.path("version").asLong()).isEqualTo(3);
     assertThat(since.path("full").asBoolean()).isFalse();
     assertThat(since.path("servers")).hasSize(2);
-    assertThat(json(c.all()).path("servers")).hasSize(1);
-    assertThat(json(c.since(3)).path("servers")).isEmpty();
-    assertThat(json(c.since(99)).path("full").asBoolean()).isTrue();
+    assertThat(json(c.all(UnaryOperator.identity())).path("servers")).hasSize(1);
+    assertThat(json(c.since(3, UnaryOperator.identity())).path("servers")).isEmpty();
+    assertThat(json(c.since(99, UnaryOperator.identity())).path("full").asBoolean()).isTrue();
   }
 
   @Test
@@ -39,7 +40,7 @@
     for (int i = 0; i < 1_500; i++) {
       c.change(entry("a", i % 2 == 0 ? "draining" : "up"));
     }
-    assertThat(json(c.since(2)).path("full").asBoolean()).isTrue();
-    assertThat(json(c.since(1_000)).path("full").asBoolean()).isFalse();
+    assertThat(json(c.since(2, UnaryOperator.identity())).path("full").asBoolean()).isTrue();
+    assertThat(json(c.since(1_000, UnaryOperator.identity())).path("full").asBoolean()).isFalse();
   }
 }
--- /dev/null
+++ b/src/test/java/rillyard/trial/HostRelaysTest.java
@@ -0,0 +1,183 @@
+package rillyard.trial;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A host that sends back what it gets, called by two processes on ways of their own. */
+@Timeout(30)
+class HostRelaysTest {
+  private static final TrialMember A = TrialMember.of(0, 2, 1);
+  private static final TrialMember B = TrialMember.of(1, 2, 1);
+
+  private final HostRelays relays = new HostRelays();
+  private ServerSocket host;
+  private InetSocketAddress wayA;
+  private InetSocketAddress wayB;
+
+  @BeforeEach
+  void open() throws Exception {
+    listen(0);
+    InetSocketAddress at = (InetSocketAddress) host.getLocalSocketAddress();
+    wayA = relays.open(A, InetAddress.getByName("127.0.0.2"), "s-0", "a", at);
+    wayB = relays.open(B, InetAddress.getByName("127.0.0.3"), "s-0", "a", at);
+  }
+
+  private void listen(int port) throws IOException {
+    ServerSocket at = new ServerSocket(port, 50, InetAddress.getByName("127.0.0.1"));
+    host = at;
+    Thread t = new Thread(() -> serve(at));
+    t.setDaemon(true);
+    t.start();
+  }
+
+  private static void serve(ServerSocket at) {
+    try {
+      while (true) {
+        Socket s = at.accept();
+        Thread t = new Thread(() -> {
+          try (s) {
+            s.getInputStream().transferTo(s.getOutputStream());
+          } catch (IOException e) {
+            // reset
+          }
+        });
+        t.setDaemon(true);
+        t.start();
+      }
+    } catch (IOException e) {
+      // closed
+    }
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    relays.close();
+    host.close();
+  }
+
+  private static Fault fault(Fault.Kind kind, double lateMs) {
+    return new Fault(0, kind, new Group("m0"), new Group("all"), new HostGroup("zone:a"), false, 1_000, 0, lateMs);
+  }
+
+  private static int echo(Socket s) throws IOException {
+    s.getOutputStream().write(7);
+    return s.getInputStream().read();
+  }
+
+  private static Socket call(InetSocketAddress way) throws IOException {
+    Socket s = new Socket(way.getAddress(), way.getPort());
+    s.setSoTimeout(300);
+    return s;
+  }
+
+  @Test
+  void silenceHoldsAllOfOneProcessUntilItsEnd() throws Exception {
+    try (Socket open = call(wayA); Socket other = call(wayB)) {
+      assertThat(echo(open)).isEqualTo(7);
+      Fault f = fault(Fault.Kind.SILENT, 0);
+      relays.begin(f);
+      try (Socket fresh = call(wayA)) {
+        assertThatThrownBy(() -> echo(fresh)).isInstanceOf(SocketTimeoutException.class);
+        assertThatThrownBy(() -> echo(open)).isInstanceOf(SocketTimeoutException.class);
+        assertThat(echo(other)).isEqualTo(7);
+        relays.end(f);
+        open.setSoTimeout(10_000);
+        fresh.setSoTimeout(10_000);
+        assertThat(open.getInputStream().read()).isEqualTo(7);
+        assertThat(fresh.getInputStream().read()).isEqualTo(7);
+      }
+    }
+  }
+
+  @Test
+  void resetsEndWhatIsOpenAndWhatComes() throws Exception {
+    try (Socket open = call(wayA); Socket other = call(wayB)) {
+      assertThat(echo(open)).isEqualTo(7);
+      relays.begin(fault(Fault.Kind.RESET, 0));
+      assertThatThrownBy(() -> open.getInputStream().read()).hasMessageContaining("reset");
+      assertThatThrownBy(() -> {
+        try (Socket fresh = call(wayA)) {
+          echo(fresh);
+          fresh.getInputStream().read();
+        }
+      }).isInstanceOf(IOException.class);
+      assertThat(echo(other)).isEqualTo(7);
+    }
+  }
+
+  @Test
+  void refusalLeavesWhatIsOpenAndEnds() throws Exception {
+    try (Socket open = call(wayA)) {
+      assertThat(echo(open)).isEqualTo(7);
+      Fault f = fault(Fault.Kind.REFUSED, 0);
+      relays.begin(f);
+      awaitRefusal(wayA);
+      assertThat(echo(open)).isEqualTo(7);
+      call(wayB).close();
+      relays.end(f);
+      awaitWay(wayA);
+    }
+  }
+
+  @Test
+  void aHostThatIsDownIsRefusedOnItsWays() throws Exception {
+    int port = host.getLocalPort();
+    host.close();
+    try (Socket first = call(wayB)) { // finds out
+      assertThatThrownBy(() -> {
+        echo(first);
+        first.getInputStream().read();
+      }).isInstanceOf(IOException.class);
+    }
+    awaitRefusal(wayB);
+    listen(port);
+    awaitWay(wayB);
+  }
+
+  @Test
+  void slowBytesComeLaterAndInOrder() throws Exception {
+    relays.begin(fault(Fault.Kind.SLOW, 60));
+    try (Socket s = call(wayA)) {
+      s.setSoTimeout(10_000);
+      long from = System.nanoTime();
+      s.getOutputStream().write(new byte[] {1, 2, 3});
+      assertThat(s.getInputStream().readNBytes(3)).containsExactly(1, 2, 3);
+      assertThat(System.nanoTime() - from).isGreaterThan(119_000_000L);
+    }
+  }
+
+  private static void awaitRefusal(InetSocketAddress way) throws Exception {
+    while (true) {
+      try {
+        call(way).close();
+        Thread.sleep(5);
+      } catch (ConnectException e) {
+        return;
+      }
+    }
+  }
+
+  private static void awaitWay(InetSocketAddress way) throws Exception {
+    while (true) {
+      try (Socket s = call(way)) {
+        if (echo(s) == 7) {
+          return;
+        }
+      } catch (IOException e) {
+        Thread.sleep(5);
+      }
+    }
+  }
+}
--- a/src/test/java/rillyard/trial/TrialIT.java
+++ b/src/test/java/rillyard/trial/TrialIT.java
@@ -40,7 +40,7 @@
   void beliefsFollowAKillAStopAndACutAndAreOneAgain() throws Exception {
     Launch built = Launch.platform(Path.of("").toAbsolutePath());
     TrialResult r =
-        new Trial(TrialPlanReader.parse("plan", PLAN), folder.resolve("trial"), System.out).run(built);
+        new Trial(TrialPlanReader.parse("plan", PLAN, folder), folder.resolve("trial"), System.out).run(built);
     assertThat(r.living()).hasSize(11).doesNotContain("m5");
     assertThat(r.heldGoneAfter("m5", 1)).as(r.report()).hasSize(11);
     assertThat(r.heldGoneAfter("m7", 1)).as(r.report()).hasSize(10);
--- a/src/test/java/rillyard/trial/TrialPartsTest.java
+++ b/src/test/java/rillyard/trial/TrialPartsTest.java
@@ -13,11 +13,11 @@
 import rillyard.trial.Beliefs.Belief;
 
 class TrialPartsTest {
-  private static final TrialMember A = TrialMember.of(0, 2);
-  private static final TrialMember B = TrialMember.of(1, 2);
+  private static final TrialMember A = TrialMember.of(0, 2, 1);
+  private static final TrialMember B = TrialMember.of(1, 2, 1);
 
   private static Fault fault(Fault.Kind kind, String on, String to, boolean oneWay, double share) {
-    return new Fault(0, kind, new Group(on), new Group(to), oneWay, 1_000, share, 40);
+    return new Fault(0, kind, new Group(on), new Group(to), HostGroup.NONE, oneWay, 1_000, share, 40);
   }
 
   @Test
@@ -47,14 +47,31 @@
 
   @Test
   void groupsAreReadOrTurnedAwayWithWhatWasExpected() {
-    assertThat(new Group("m3, m10-m12").has(TrialMember.of(11, 1))).isTrue();
-    assertThat(new Group("m3, m10-m12").has(TrialMember.of(4, 1))).isFalse();
-    assertThatThrownBy(() -> new Group("zone 1")).hasMessageContaining("expected all, zone:1, m3 or m10-m19");
-    assertThatThrownBy(() -> TrialPlanReader.parse("p", "processes = 1\n[[fault]]\nkind = \"kil\"\non = \"x\"\n"))
+    assertThat(new Group("m3, m10-m12").has(TrialMember.of(11, 1, 1))).isTrue();
+    assertThat(new Group("m3, m10-m12").has(TrialMember.of(4, 1, 1))).isFalse();
+    assertThatThrownBy(() -> new Group("zone 1")).hasMessageContaining("expected all, zone:1, region:0, m3 or m10-m19");
+    assertThatThrownBy(() -> TrialPlanReader.parse("p", "processes = 1\n[[fault]]\nkind = \"kil\"\non = \"x\"\n", Path.of("")))
         .isInstanceOf(InvalidFileException.class)
         .hasMessageContaining("p:1").hasMessageContaining("did you mean 'kill'").hasMessageContaining("p:4");
   }
 
+  @Test
+  void aNemesisIsDrawnFromItsSeedAndLeavesAQuietEnd() throws Exception {
+    TrialPlan plan = TrialPlanReader.parse("p", "processes = 12\nzones = 3\nfor_s = 200\n", Path.of(""));
+    List<Fault> drawn = Nemesis.draw(plan, Set.of(Nemesis.Kind.values()), 5);
+    assertThat(drawn).hasSizeGreaterThan(15).allSatisfy(f -> assertThat(f.at() + f.lasts()).isLessThan(0.66 * 200_000));
+    assertThat(drawn.stream().map(Fault::place).distinct()).hasSize(3);
+    assertThat(drawn.stream().filter(f -> f.kind() == Fault.Kind.KILL)).hasSizeLessThanOrEqualTo(3);
+    assertThat(Nemesis.draw(plan, Set.of(Nemesis.Kind.values()), 5)).hasToString(drawn.toString());
+    assertThat(Nemesis.draw(plan, Set.of(Nemesis.Kind.values()), 6)).doesNotHaveToString(drawn.toString());
+  }
+
+  @Test
+  void roomIsToldBeforeAnythingStarts() {
+    assertThatThrownBy(() -> Room.check(1_000_000, 4)).hasMessageContaining("MB are free");
+    assertThatThrownBy(() -> Room.check(4, 100_000_000)).hasMessageContaining("descriptors").hasMessageContaining("ulimit -n");
+  }
+
   @Test
   void agreementIsSinceTheLastOfThemCameToIt() {
     Beliefs b = new Beliefs(List.of(
--- /dev/null
+++ b/src/test/java/rillyard/trial/TrialServingIT.java
@@ -0,0 +1,102 @@
+package rillyard.trial;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import rillyard.ledger.ClientTry;
+import rillyard.ledger.HostRun;
+import rillyard.ledger.LedgerReader;
+import rillyard.process.Launch;
+
+/** Six processes of the built jar serve their clients while their ways to hosts break, and they are halted. */
+@Timeout(150)
+class TrialServingIT {
+  private static final String PLAN =
+      """
+      seed = 3
+      processes = 6
+      zones = 2
+      hosts = "hosts.toml"
+      load = "load.toml"
+      [[fault]]
+      at_s = 2
+      kind = "refused"
+      on = "zone:0"
+      hosts = "s-0"
+      for_s = 4
+      [[fault]]
+      at_s = 4
+      kind = "silent"
+      on = "m1"
+      hosts = "s-1,discovery"
+      for_s = 3
+      [[fault]]
+      at_s = 6
+      kind = "reset"
+      on = "zone:1"
+      hosts = "s-2"
+      for_s = 2
+      [[fault]]
+      at_s = 7
+      kind = "slow"
+      on = "all"
+      hosts = "s-3"
+      late_ms = 30
+      for_s = 3
+      [[fault]]
+      at_s = 9
+      kind = "restart"
+      on = "m4"
+      [[fault]]
+      at_s = 10
+      kind = "starve"
+      on = "m5"
+      share = 0.5
+      for_s = 3
+      """;
+
+  @TempDir Path folder;
+
+  @Test
+  void rulesAreKeptWhileWaysToHostsBreakAndProcessesAreHalted() throws Exception {
+    Files.writeString(folder.resolve("hosts.toml"), "seed = 3\n[hosts]\ncount = 6\n");
+    Files.writeString(folder.resolve("load.toml"),
+        "seed = 3\n[clients]\ncount = 60\n[[shape]]\nkind = \"poisson\"\nfor_s = 18\nrate = 150\n");
+    Launch built = Launch.platform(Path.of("").toAbsolutePath());
+    Path out = folder.resolve("trial");
+    TrialResult r = new Trial(TrialPlanReader.parse("plan", PLAN, folder), out, System.out).run(built);
+    assertThat(r.living()).hasSize(6);
+    assertThat(r.good()).as(r.report()).isTrue();
+    assertThat(r.audit().verdict().tries()).isGreaterThan(2_000);
+    assertThat(r.audit().notOwed()).as(r.report()).isBetween(1, r.audit().verdict().tries() / 4);
+    assertThat(out.resolve("report.html")).content().contains("refused zone:0 to hosts s-0");
+    assertThat(Files.readAllLines(out.resolve("history.jsonl"))).hasSizeGreaterThan(36);
+    // Each client has a proxy of its own: what those of zone 1 ask for can't come to the host that is cut off from them.
+    long from = time(r, true) + 300;
+    long until = time(r, false);
+    Set<String> zone1 = new HashSet<>();
+    LedgerReader.read(out.resolve("clients.jsonl"), "clients", l -> {
+      if (l instanceof ClientTry t && t.client() % 6 % 2 == 1) {
+        zone1.add(t.id());
+      }
+    });
+    int[] received = {0, 0};
+    LedgerReader.read(out.resolve("hosts.jsonl"), "hosts", l -> {
+      if (l instanceof HostRun h && h.host().equals("s-2") && h.received() / 1_000 > from && h.received() / 1_000 < until) {
+        received[zone1.contains(h.id()) ? 1 : 0]++;
+      }
+    });
+    assertThat(received[0]).as("by the other zone").isPositive();
+    assertThat(received[1]).as("by the zone that is reset").isZero();
+  }
+
+  private static long time(TrialResult r, boolean begin) {
+    return r.done().stream().filter(d -> d.fault().kind() == Fault.Kind.RESET && d.begin() == begin).findFirst().orElseThrow().at();
+  }
+}
