Facts: small things members say of themselves, versioned, with an age and an end

Need: even load, one owner and leaving a zone pass small facts between members (typed, one owner each). Change: 16 kinds of up to 32 bytes ride in the room that news leaves; new ones are also told by datagrams of their own, and a quarter of each is kept for them while there are any. An owner says its facts again at a third of their time; they go with its life or at their end; a made-up version is turned away or overruled by the owner. Datagrams are filled by a class of their own (Outbox).

--- a/src/main/java/rillyard/member/Codec.java
+++ b/src/main/java/rillyard/member/Codec.java
@@ -8,8 +8,9 @@
 
 /**
  * Datagrams of the fleet as bytes, big-endian: version, kind, sequence (4), digest (4), sender, target, its address for
- * {@link Message.Kind#ASK_FOR_ME}, then words until the end. A word: status, by (2), start (6), incarnation
- * (2), address (4), port (2), zone, region, name's length and name.
+ * {@link Message.Kind#ASK_FOR_ME}, then words and facts until the end. A word: status, by (2), start (6), incarnation
+ * (2), address (4), port (2), zone, region, name's length and name. A fact: 64 and its kind, owner's length and name, start (6),
+ * version (4), age and end (2 each, in 100 ms), value's length and value.
  */
 public final class Codec {
   /** A platform may carry no more. */
@@ -18,6 +19,12 @@
   private static final byte VERSION = 1;
   private static final int WORD = 20;
 
+  /** The first byte of a fact is this and its kind; a word's is its status, which is less. */
+  private static final int FACT = 64;
+
+  /** The unit (ms) of the times of facts. */
+  private static final double UNIT = 100;
+
   private Codec() {}
 
   /** The bytes that a word takes. */
@@ -49,6 +56,11 @@
         break;
       }
     }
+    for (Fact f : m.facts()) {
+      if (b.position() <= room) {
+        put(b, f);
+      }
+    }
     if (b.position() > room) {
       throw new IllegalArgumentException("a datagram of more than " + room + " bytes");
     }
@@ -59,13 +71,25 @@
 
   private static void put(ByteBuffer b, Update u) {
     b.put((byte) u.status().ordinal()).putShort((short) u.by());
-    b.putShort((short) (u.life().start() >> 32)).putInt((int) u.life().start());
+    putStart(b, u.life().start());
     b.putShort((short) u.life().incarnation());
     put(b, u.card().at());
     b.put((byte) u.card().zone()).put((byte) u.card().region());
     put(b, u.card().name());
   }
 
+  private static void put(ByteBuffer b, Fact f) {
+    b.put((byte) (FACT + f.kind()));
+    put(b, f.owner());
+    putStart(b, f.start());
+    b.putInt((int) f.version()).putShort((short) (f.age() / UNIT)).putShort((short) (f.lasts() / UNIT));
+    b.put((byte) f.value().length).put(f.value());
+  }
+
+  private static void putStart(ByteBuffer b, long start) {
+    b.putShort((short) (start >> 32)).putInt((int) start);
+  }
+
   private static void put(ByteBuffer b, Endpoint e) {
     b.putInt(e.ip()).putShort((short) e.port());
   }
@@ -102,10 +126,15 @@
       }
       Endpoint at = kind == Message.Kind.ASK_FOR_ME ? endpoint(b) : null;
       List<Update> news = new ArrayList<>();
+      List<Fact> facts = new ArrayList<>();
       while (b.hasRemaining()) {
-        news.add(word(b));
+        if (b.get(b.position()) >= FACT) {
+          facts.add(fact(b));
+        } else {
+          news.add(word(b));
+        }
       }
-      return new Message(kind, sequence, digest, sender, target, at, List.copyOf(news));
+      return new Message(kind, sequence, digest, sender, target, at, List.copyOf(news), List.copyOf(facts));
     } catch (BufferUnderflowException e) {
       throw new IllegalArgumentException("cut off after " + bytes.length + " bytes", e);
     }
@@ -121,7 +150,7 @@
   private static Update word(ByteBuffer b) {
     Status status = value(Status.values(), b.get());
     int by = b.getShort() & 0xFFFF;
-    long start = (b.getShort() & 0xFFFFL) << 32 | b.getInt() & 0xFFFFFFFFL;
+    long start = start(b);
     Life life = new Life(start, b.getShort() & 0xFFFF);
     Endpoint at = endpoint(b);
     int zone = b.get() & 255;
@@ -129,6 +158,26 @@
     return new Update(new Card(text(b), at, zone, region), life, status, by);
   }
 
+  private static Fact fact(ByteBuffer b) {
+    int kind = b.get() - FACT;
+    String owner = text(b);
+    long start = start(b);
+    long version = b.getInt() & 0xFFFFFFFFL;
+    double age = UNIT * (b.getShort() & 0xFFFF);
+    double lasts = UNIT * (b.getShort() & 0xFFFF);
+    int n = b.get();
+    if (n < 0 || n > Fact.MAX_VALUE) {
+      throw new IllegalArgumentException("a value of " + n + " bytes, expected " + Fact.MAX_VALUE + " at most");
+    }
+    byte[] value = new byte[n];
+    b.get(value);
+    return new Fact(owner, start, kind, version, age, lasts, value);
+  }
+
+  private static long start(ByteBuffer b) {
+    return (b.getShort() & 0xFFFFL) << 32 | b.getInt() & 0xFFFFFFFFL;
+  }
+
   private static Endpoint endpoint(ByteBuffer b) {
     return new Endpoint(b.getInt(), b.getShort() & 0xFFFF);
   }
--- a/src/main/java/rillyard/member/Credence.java
+++ b/src/main/java/rillyard/member/Credence.java
@@ -3,7 +3,7 @@
 /** Which words are possible at all: guards against members that make up lives, to have the last word for ever. */
 final class Credence {
   /** A start this far (ms) ahead of this machine's Unix time is none: clocks of a fleet are nearer than that. */
-  private static final long CLOCKS_APART = 3_600_000;
+  static final long CLOCKS_APART = 3_600_000;
 
   /** A word so much newer than the last known of the same process was made up: nobody speaks up so often. */
   private static final int LEAP = 1_024;
--- a/src/main/java/rillyard/member/Gossip.java
+++ b/src/main/java/rillyard/member/Gossip.java
@@ -49,9 +49,8 @@
    * @param first names that come first, whatever was sent of them before
    * @param room bytes that are left
    * @param transmits how often a word is passed on
-   * @param fill names to go on with, where there is room, in their order
-   */
-  List<Update> pick(Map<String, Belief> beliefs, List<String> first, int room, int transmits, List<String> fill) {
+     */
+  List<Update> pick(Map<String, Belief> beliefs, List<String> first, int room, int transmits) {
     List<Update> out = new ArrayList<>(10);
     Set<String> in = new HashSet<>();
     int left = room;
@@ -69,10 +68,17 @@
         }
       }
     }
+    return out;
+  }
+
+  /** Adds words about these, where there is room left, in their order. */
+  void fill(Map<String, Belief> beliefs, List<Update> out, int room, List<String> fill) {
+    int left = room;
+    Set<String> in = new HashSet<>();
+    out.forEach(u -> in.add(u.card().name()));
     for (String name : fill) {
       left = add(out, in, beliefs.get(name), left);
     }
-    return out;
   }
 
   private static int add(List<Update> out, Set<String> in, Belief b, int left) {
--- a/src/main/java/rillyard/member/Membership.java
+++ b/src/main/java/rillyard/member/Membership.java
@@ -1,7 +1,7 @@
 package rillyard.member;
 
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.random.RandomGenerator;
 import rillyard.member.Message.Kind;
 
@@ -32,8 +32,6 @@
   /** How many are told directly that this member goes. */
   private static final int FAREWELLS = 6;
 
-  private static final int FILL = 12;
-
   /** While there are words to pass on they go to so many at a time, so often an interval, besides the probes. */
   private static final int TELL = 3;
 
@@ -45,6 +43,8 @@
   private final RandomGenerator random;
   private final Roster roster;
   private final Gossip gossip = new Gossip();
+  private final Facts facts = new Facts();
+  private final Outbox outbox;
   private final LocalHealth health = new LocalHealth();
   private final Errands errands;
   private final long started;
@@ -73,6 +73,7 @@
     this.seeds = List.copyOf(seeds);
     this.random = random;
     this.roster = new Roster(random);
+    this.outbox = new Outbox(settings, roster, gossip, facts, out);
     this.errands = new Errands(settings);
     this.started = start;
     this.self = new Update(card, new Life(start, 0), Status.ALIVE, Update.by(card.name()));
@@ -93,13 +94,32 @@
     return roster.beliefs().values().stream().map(b -> b.word).toList();
   }
 
+  /**
+   * Says something of this member to all, from time to time again, until it is said otherwise.
+   *
+   * @param kind 0 to {@link Fact#MAX_KIND}; a fact of each
+   * @param value of 1 to {@link Fact#MAX_VALUE} bytes, or none to take it back
+   * @param lasts ms after which it ends where no more is heard of it, 1,000 to {@link Fact#MAX_MS}
+   */
+  public void say(double now, int kind, byte[] value, double lasts) {
+    if (!(lasts >= 1_000)) {
+      throw new IllegalArgumentException("lasts " + lasts + " ms, expected 1,000 and more");
+    }
+    facts.say(self, kind, value, lasts, now);
+  }
+
+  /** The facts of a kind that hold now, by owner: what members that are present have said, this one among them. */
+  public Map<String, Fact> facts(double now, int kind) {
+    return facts.holding(kind, self, roster.beliefs(), now);
+  }
+
   /** All that its next steps depend on but chance, in words; times in it count from {@code now}. */
   String state(double now) {
     StringBuilder s = new StringBuilder().append(self).append(over).append(health.factor());
     s.append(' ').append(now - lastTick).append(' ').append(now - reachedOutAt).append(' ').append(now - pagedAt)
         .append(' ').append(now - toldAt).append(' ').append(now - askedNamesakeAt);
     s.append(probe == null ? " -" : probe.state(now, sequence));
-    return s.append(errands.state(now)).append(gossip.state()).append(roster.state(now)).toString();
+    return s.append(errands.state(now)).append(gossip.state()).append(facts.state(now)).append(roster.state(now)).toString();
   }
 
   /** Members alive or suspected, this one among them. */
@@ -128,14 +148,15 @@
       begin(now);
     }
     roster.suspects().forEach(b -> suspected(b, now));
-    if (!gossip.isEmpty() && now - toldAt >= settings.interval() / TELLS) {
+    facts.tick(self, now);
+    if ((!gossip.isEmpty() || facts.urgent()) && now - toldAt >= settings.interval() / TELLS) {
       toldAt = now;
       roster.some(TELL, "", true).forEach(b -> send(Kind.NEWS, 0, b.word.card().at(), "", null));
     }
     if (now - reachedOutAt >= 2 * settings.interval()) {
       reachedOutAt = now;
       reachOut();
-      roster.forget(now - settings.forget()).forEach(gossip::forget);
+      roster.forget(now - settings.forget()).forEach(this::forget);
     }
   }
 
@@ -218,6 +239,11 @@
     }
   }
 
+  private void forget(String name) {
+    gossip.forget(name);
+    facts.forget(name);
+  }
+
   /** Says that it goes, and says nothing after. */
   public void leave(double now) {
     if (over) {
@@ -248,28 +274,18 @@
     for (Update u : m.news()) {
       heard(u, now, "#" + u.by());
     }
+    for (Fact f : m.facts()) {
+      Belief owner = roster.get(f.owner());
+      Life life = owner == null || !owner.status().present() ? null : owner.word.life();
+      facts.heard(f, self, life, started + (long) now, now);
+    }
     answer(now, from, m);
     boolean joins = fresh && sender.status() == Status.ALIVE && roster.get(sender.card().name()) != null;
     if (joins) {
-      pages(from, WELCOME);
-    } else if (m.kind() != Kind.NEWS && m.digest() != digest() && now - pagedAt >= settings.interval()) {
+      outbox.pages(self, from, WELCOME);
+    } else if (m.kind() != Kind.NEWS && m.digest() != outbox.digest(self) && now - pagedAt >= settings.interval()) {
       pagedAt = now;
-      pages(from, PAGES);
-    }
-  }
-
-  private int digest() {
-    return roster.digest() + Roster.mark(self);
-  }
-
-  /** Tells what it holds of all, as far as so many datagrams go. */
-  private void pages(Endpoint to, int most) {
-    int room = settings.room() - Codec.emptySize(self, "", false);
-    int told = 0;
-    for (int i = 0; i < most && told < roster.beliefs().size(); i++) {
-      List<Update> page = roster.page(room);
-      told += page.size();
-      out.send(to, new Message(Kind.NEWS, 0, digest(), self, "", null, page));
+      outbox.pages(self, from, PAGES);
     }
   }
 
@@ -385,14 +401,6 @@
   }
 
   private void send(Kind kind, int seq, Endpoint to, String target, Endpoint targetAt) {
-    List<String> first = new ArrayList<>(1);
-    Belief about = target.isEmpty() ? null : roster.get(target);
-    if (about != null && (about.status() != Status.ALIVE || !about.word.card().at().equals(to))) {
-      first.add(target); // it hears first what is believed of it, or who has its name now
-    }
-    int room = settings.room() - Codec.emptySize(self, target, targetAt != null);
-    List<Update> news =
-        gossip.pick(roster.beliefs(), first, room, settings.transmits(present()), roster.fill(FILL));
-    out.send(to, new Message(kind, seq, digest(), self, target, targetAt, news));
+    outbox.send(self, latest, kind, seq, to, target, targetAt);
   }
 }
--- a/src/main/java/rillyard/member/Message.java
+++ b/src/main/java/rillyard/member/Message.java
@@ -11,9 +11,15 @@
  * @param targetAt where the target is, for {@link Kind#ASK_FOR_ME}; else null
  * @param digest of the members that the sender holds present, as {@link Roster#digest}
  * @param news words about others
+ * @param facts that members say of themselves
  */
-public record Message(
-    Kind kind, int sequence, int digest, Update sender, String target, Endpoint targetAt, List<Update> news) {
+public record Message(Kind kind, int sequence, int digest, Update sender, String target, Endpoint targetAt,
+    List<Update> news, List<Fact> facts) {
+  /** Without facts. */
+  public Message(Kind kind, int sequence, int digest, Update sender, String target, Endpoint targetAt, List<Update> news) {
+    this(kind, sequence, digest, sender, target, targetAt, news, List.of());
+  }
+
   /** What a datagram is for. */
   public enum Kind {
     /** Are you there? */
