--- a/src/main/java/rillyard/cli/Cli.java
+++ b/src/main/java/rillyard/cli/Cli.java
@@ -24,6 +24,7 @@
       MeasureCommand.class,
       SubsetCommand.class,
       FleetCommand.class,
+      MembersCommand.class,
       TrialCommand.class,
       HelpCommand.class
     })
--- a/src/main/java/rillyard/member/Belief.java
+++ b/src/main/java/rillyard/member/Belief.java
@@ -7,6 +7,8 @@
 final class Belief {
   Update word;
   double since;
+  /** By whose word, as {@link Change#by}. */
+  String by = "";
   /** When a suspect is asked again. */
   double askAt;
   /** Who suspects it, by number: independent words shorten the time that it has to speak up. */
--- a/src/main/java/rillyard/member/Membership.java
+++ b/src/main/java/rillyard/member/Membership.java
@@ -1,5 +1,6 @@
 package rillyard.member;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -89,6 +90,20 @@
     return over;
   }
 
+  /** What is believed of one: since when (ms since this process started), and by whose word, as {@link Change#by}. */
+  public record Seen(Update word, double since, String by) {}
+
+  /** What is believed of all others, in the order of their names. */
+  public List<Seen> seen() {
+    return roster.beliefs().values().stream().map(b -> new Seen(b.word, b.since, b.by))
+        .sorted(Comparator.comparing(s -> s.word().card().name())).toList();
+  }
+
+  /** By how much this member distrusts its own hearing, 1 where not at all. */
+  public double distrust() {
+    return health.factor();
+  }
+
   /** All others that are known, in no order. */
   public List<Update> others() {
     return roster.beliefs().values().stream().map(b -> b.word).toList();
@@ -372,6 +387,7 @@
   }
 
   private void told(Belief b, double now, Status before, String by) {
+    b.by = by;
     if (b.status() == Status.SUSPECT) {
       b.accusers.add(b.word.by());
     }
--- a/src/main/java/rillyard/member/Update.java
+++ b/src/main/java/rillyard/member/Update.java
@@ -16,7 +16,7 @@
   }
 
   /** The number for a name, 0 to 65535. */
-  static int by(String name) {
+  public static int by(String name) {
     int h = name.hashCode() * 0x9E3779B1;
     return h >>> 16;
   }
--- a/src/main/java/rillyard/member/net/FleetFile.java
+++ b/src/main/java/rillyard/member/net/FleetFile.java
@@ -42,6 +42,7 @@
       self.error("name", e.getMessage());
     }
     String history = self.text("history", null);
+    InetSocketAddress admin = self.has("admin") ? address(endpoint(self, "admin", self.text("admin"))) : null;
     List<Endpoint> seeds = new ArrayList<>();
     for (String s : root.text("seeds", "").split("[,\\s]+")) {
       if (!s.isEmpty()) {
@@ -53,7 +54,7 @@
     double clockRate = root.table("test").number("clock_rate", 1, 0.01, 100);
     root.finish();
     return new FleetSettings(
-        address(listen), card, seeds, member, keys, history == null ? null : Path.of(history), clockRate);
+        address(listen), card, seeds, member, keys, history == null ? null : Path.of(history), admin, clockRate);
   }
 
   /** One or two keys, a line of 64 hexadecimal digits each, in a file that only this process's user may read. */
--- a/src/main/java/rillyard/member/net/FleetMember.java
+++ b/src/main/java/rillyard/member/net/FleetMember.java
@@ -22,6 +22,7 @@
 import rillyard.member.Change;
 import rillyard.member.Codec;
 import rillyard.member.Endpoint;
+import rillyard.member.LoopHealth;
 import rillyard.member.Membership;
 import rillyard.member.Message;
 
@@ -30,6 +31,9 @@
   /** Steps of its clock in an interval. */
   private static final double STEPS = 10;
 
+  /** What this process says of its loop holds for so long, and is said again in time. */
+  private static final double HEALTH_LASTS_MS = 600_000;
+
   private final FleetSettings settings;
   private final PrintStream log;
   private final MultiThreadIoEventLoopGroup group =
@@ -40,7 +44,10 @@
   private final History history;
   private final Seal seal;
   private volatile Channel channel; // set on the loop, before the first datagram
-  private long turnedAway;
+  private final Costs costs = new Costs();
+  private final LoopHealth loopHealth = new LoopHealth();
+  private LoopHealth.Level said = LoopHealth.Level.WELL;
+  private double nextStep = Double.NaN;
 
   /**
    * Makes one; {@link #start} has it join.
@@ -76,6 +83,14 @@
       close();
       throw new IOException("fleet: can't listen on " + settings.listen() + ": " + e.getMessage(), e);
     }
+    if (settings.admin() != null) {
+      try {
+        new Admin(() -> View.of(member, startedUnix, now(), costs)).listen(group, settings.admin());
+      } catch (IOException e) {
+        close();
+        throw e;
+      }
+    }
     if (history != null) {
       history.line(startedUnix, new Change(0, member.self(), null, settings.card().name()));
     }
@@ -88,12 +103,22 @@
   }
 
   private void tick() {
+    long from = System.nanoTime();
     try {
-      member.tick(now());
+      double now = now();
+      double step = settings.member().interval() / STEPS;
+      loopHealth.step(now, Double.isNaN(nextStep) ? 0 : Math.max(0, now - nextStep));
+      nextStep = now + step;
+      if (loopHealth.level() != said) {
+        said = loopHealth.level();
+        member.say(now, LoopHealth.FACT, new byte[] {(byte) said.ordinal()}, HEALTH_LASTS_MS);
+      }
+      member.tick(now);
     } catch (RuntimeException e) {
       // Guards against a periodic task that ends for ever with its first exception.
       log.println("rillyard: fleet: a step failed: " + e);
     }
+    costs.busySince(from);
   }
 
   /** Says that it goes, as far as it can, and ends. */
@@ -122,6 +147,9 @@
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket p) {
       byte[] bytes = new byte[p.content().readableBytes()];
       p.content().readBytes(bytes);
+      long began = System.nanoTime();
+      costs.received++;
+      costs.receivedBytes += bytes.length;
       try {
         InetSocketAddress sender = p.sender();
         if (sender.getAddress() instanceof Inet4Address) {
@@ -129,10 +157,11 @@
           member.received(now(), from, Codec.decode(seal == null ? bytes : seal.open(from, bytes)));
         }
       } catch (IllegalArgumentException e) {
-        if (turnedAway++ % 1_000 == 0) {
-          log.println("rillyard: fleet: datagram from " + p.sender() + " turned away, " + turnedAway + " so far: " + e.getMessage());
+        if (costs.turnedAway++ % 1_000 == 0) {
+          log.println("rillyard: fleet: datagram from " + p.sender() + " turned away, " + costs.turnedAway + " so far: " + e.getMessage());
         }
       }
+      costs.busySince(began);
     }
 
     @Override
@@ -148,6 +177,8 @@
     public void send(Endpoint to, Message m) {
       byte[] plain = Codec.encode(m, settings.member().room());
       ByteBuf bytes = Unpooled.wrappedBuffer(seal == null ? plain : seal.seal(plain));
+      costs.sent++;
+      costs.sentBytes += bytes.readableBytes();
       channel.writeAndFlush(new DatagramPacket(bytes, FleetFile.address(to)), channel.voidPromise());
     }
 
--- a/src/main/java/rillyard/member/net/FleetSettings.java
+++ b/src/main/java/rillyard/member/net/FleetSettings.java
@@ -15,8 +15,9 @@
  * @param seeds where others may be
  * @param keys of the group, the first seals and all open; empty where datagrams are not sealed
  * @param history file that gets a line for each change of belief; null for none
+ * @param admin where `members --admin` may ask; null for nowhere
  * @param clockRate ms that pass in one on the clock that decisions are fed with; 1 but in trials of bad clocks
  */
 public record FleetSettings(
     InetSocketAddress listen, Card card, List<Endpoint> seeds, MemberSettings member, List<byte[]> keys,
-    Path history, double clockRate) {}
+    Path history, InetSocketAddress admin, double clockRate) {}
--- a/src/main/java/rillyard/trial/Trial.java
+++ b/src/main/java/rillyard/trial/Trial.java
@@ -110,6 +110,7 @@
     Set<String> all = fleet.members().stream().map(TrialMember::name).collect(Collectors.toSet());
     awaitAgreement(fleet, all, JOIN_MS + plan.processes() * JOIN_EACH_MS);
     out.printf(Locale.ROOT, "all have found each other after %.1f s%n", (System.currentTimeMillis() - from) / 1e3);
+    Expense expense = new Expense(fleet);
     Thread asking = load == null ? null : asking(load);
     fleet.hosts.startTimetable();
     long begun = System.currentTimeMillis();
@@ -126,7 +127,7 @@
         asking.join();
       }
     }
-    return new TrialResult(plan, begun, done, living(all, fleet), read(fleet));
+    return new TrialResult(plan, begun, done, living(all, fleet), read(fleet), expense.words());
   }
 
   private static Thread asking(LoadRun load) {
--- a/src/main/java/rillyard/trial/TrialFleet.java
+++ b/src/main/java/rillyard/trial/TrialFleet.java
@@ -31,6 +31,7 @@
   private final Launch launch;
   private final List<TrialMember> members;
   private final List<InetSocketAddress> own = new ArrayList<>();
+  private final List<InetSocketAddress> admin = new ArrayList<>();
   private final List<InetSocketAddress> serving = new ArrayList<>();
   private final Child[] children;
   private final Path key;
@@ -58,7 +59,10 @@
       // A network of this trial's own, so that a port that was free a moment ago is free still.
       byte[] ip = {127, (byte) (10 + pid % 200), (byte) (m.index() / 250), (byte) (1 + m.index() % 250)};
       InetAddress address = InetAddress.getByAddress(ip);
-      try (DatagramSocket s = new DatagramSocket(0, address); ServerSocket t = new ServerSocket(0, 1, address)) {
+      try (DatagramSocket s = new DatagramSocket(0, address);
+          ServerSocket t = new ServerSocket(0, 1, address);
+          ServerSocket u = new ServerSocket(0, 1, address)) {
+        admin.add(new InetSocketAddress(address, u.getLocalPort()));
         own.add(new InetSocketAddress(address, s.getLocalPort()));
         serving.add(new InetSocketAddress(address, t.getLocalPort()));
       }
@@ -109,6 +113,11 @@
     return serving;
   }
 
+  /** Where a process tells what it holds. */
+  InetSocketAddress admin(TrialMember m) {
+    return admin.get(m.index());
+  }
+
   Path history(TrialMember m) {
     return folder.resolve(m.name() + ".history");
   }
@@ -126,7 +135,7 @@
     Files.writeString(settings, "key_file = \"" + key.toAbsolutePath() + "\"\nseeds = \"" + seeds
         + "\"\n[self]\nname = \"" + m.name() + "\"\nlisten = \"" + text(own.get(m.index())) + "\"\nadvertise = \""
         + text(relays.address(m)) + "\"\nzone = " + m.zone() + "\nregion = " + m.region()
-        + "\nhistory = \"" + history(m).toAbsolutePath() + "\"\n[test]\nclock_rate = " + plan.clockRate(m)
+        + "\nadmin = \"" + text(admin.get(m.index())) + "\"\nhistory = \"" + history(m).toAbsolutePath() + "\"\n[test]\nclock_rate = " + plan.clockRate(m)
         + "\n[membership]\n" + plan.membership());
     Path log = folder.resolve(m.name() + ".log");
     Path config = folder.resolve(m.name() + ".json");
--- a/src/main/java/rillyard/trial/TrialResult.java
+++ b/src/main/java/rillyard/trial/TrialResult.java
@@ -25,14 +25,16 @@
   private final List<Done> done;
   private final Set<String> living;
   private final Beliefs beliefs;
+  private final String expense;
   private TrialAudit audit;
 
-  TrialResult(TrialPlan plan, long begun, List<Done> done, Set<String> living, Beliefs beliefs) {
+  TrialResult(TrialPlan plan, long begun, List<Done> done, Set<String> living, Beliefs beliefs, String expense) {
     this.plan = plan;
     this.begun = begun;
     this.done = List.copyOf(done);
     this.living = Set.copyOf(living);
     this.beliefs = beliefs;
+    this.expense = expense;
   }
 
   /** What of the timetable was carried out, in its order. */
@@ -149,6 +151,7 @@
         s.append("  ").append(e.getKey()).append(" holds ").append(e.getValue().size()).append(" present\n");
       }
     }
+    s.append(expense);
     if (audit != null) {
       s.append(String.format(Locale.ROOT, "%d tries, %d of them owed no answer (their process was halted under them), "
           + "%d receipts of hosts: %d broken rules%n", audit.verdict().tries(), audit.notOwed(), audit.verdict().runs(),
--- a/src/test/java/rillyard/trial/TrialIT.java
+++ b/src/test/java/rillyard/trial/TrialIT.java
@@ -46,6 +46,7 @@
     assertThat(r.heldGoneAfter("m7", 1)).as(r.report()).hasSize(10);
     assertThat(r.heldGoneAfter("m0", 14)).as("held gone across the cut: %s", r.report()).isNotEmpty();
     assertThat(r.falseDeaths()).as(r.report()).isEmpty();
+    assertThat(r.report()).containsPattern("membership: [1-9][0-9.]* datagrams and [1-9]");
     assertThat(r.agreedSeconds()).as(r.report()).isGreaterThan(14);
   }
 }
--- a/src/test/java/rillyard/trial/TrialResultTest.java
+++ b/src/test/java/rillyard/trial/TrialResultTest.java
@@ -15,7 +15,7 @@
     TrialPlan plan = new TrialPlan(1, 4, 2, 1, 60_000, "", null, null, List.of(), List.of(f));
     Beliefs b = new Beliefs(List.of(new Belief(BEGUN + atMs, by, about, "DEAD")));
     TrialResult.Done done = new TrialResult.Done(BEGUN + (long) f.at(), f, true);
-    return new TrialResult(plan, BEGUN, List.of(done), Set.of(by), b).falseDeaths().size();
+    return new TrialResult(plan, BEGUN, List.of(done), Set.of(by), b, "").falseDeaths().size();
   }
 
   private static Fault fault(Fault.Kind kind, String on, String to, double lasts) {
