--- a/src/main/java/rillyard/member/Codec.java
+++ b/src/main/java/rillyard/member/Codec.java
@@ -19,6 +19,9 @@
   private static final byte VERSION = 1;
   private static final int WORD = 20;
 
+  /** The bytes of the shortest word. */
+  static final int LEAST_WORD = WORD + 1;
+
   /** The first byte of a fact is this and its kind; a word's is its status, which is less. */
   private static final int FACT = 64;
 
--- a/src/main/java/rillyard/member/Gossip.java
+++ b/src/main/java/rillyard/member/Gossip.java
@@ -1,11 +1,13 @@
 package rillyard.member;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * The words to pass on: the newest of each member, those passed on least often first, each only so often.
@@ -22,10 +24,16 @@
   }
 
   private final Map<String, Entry> queued = new HashMap<>();
+  /** The same, those passed on least often first: thousands join at once, and each datagram takes ten. */
+  private final TreeSet<Entry> order =
+      new TreeSet<>(Comparator.<Entry>comparingInt(e -> e.sent).thenComparing(e -> e.name));
 
   /** There is a new word about this member. */
   void changed(String name) {
-    queued.put(name, new Entry(name));
+    forget(name);
+    Entry e = new Entry(name);
+    queued.put(name, e);
+    order.add(e);
   }
 
   boolean isEmpty() {
@@ -40,7 +48,10 @@
   }
 
   void forget(String name) {
-    queued.remove(name);
+    Entry e = queued.remove(name);
+    if (e != null) {
+      order.remove(e);
+    }
   }
 
   /**
@@ -49,7 +60,7 @@
    * @param first names that come first, whatever was sent of them before
    * @param room bytes that are left
    * @param transmits how often a word is passed on
-     */
+   */
   List<Update> pick(Map<String, Belief> beliefs, List<String> first, int room, int transmits) {
     List<Update> out = new ArrayList<>(10);
     Set<String> in = new HashSet<>();
@@ -57,15 +68,24 @@
     for (String name : first) {
       left = add(out, in, beliefs.get(name), left);
     }
-    if (!queued.isEmpty()) {
-      List<Entry> order = new ArrayList<>(queued.values());
-      order.sort((a, b) -> a.sent != b.sent ? Integer.compare(a.sent, b.sent) : a.name.compareTo(b.name));
-      for (Entry e : order) {
-        int before = left;
-        left = add(out, in, beliefs.get(e.name), left);
-        if (left < before && ++e.sent >= transmits) {
-          queued.remove(e.name);
-        }
+    List<Entry> told = new ArrayList<>(10);
+    for (Entry e : order) {
+      if (left < Codec.LEAST_WORD) {
+        break;
+      }
+      int before = left;
+      left = add(out, in, beliefs.get(e.name), left);
+      if (left < before) {
+        told.add(e);
+      }
+    }
+    for (Entry e : told) {
+      order.remove(e);
+      e.sent++;
+      if (e.sent < transmits) {
+        order.add(e);
+      } else {
+        queued.remove(e.name);
       }
     }
     return out;
--- a/src/main/java/rillyard/member/Membership.java
+++ b/src/main/java/rillyard/member/Membership.java
@@ -99,6 +99,11 @@
         .sorted(Comparator.comparing(s -> s.word().card().name())).toList();
   }
 
+  /** A number for all that it holds present, itself among them. */
+  int digest() {
+    return outbox.digest(self);
+  }
+
   /** By how much this member distrusts its own hearing, 1 where not at all. */
   public double distrust() {
     return health.factor();
@@ -193,11 +198,11 @@
   private void suspected(Belief b, double now) {
     if (now >= b.askAt) {
       b.askAt = now + settings.interval();
-      if (b.accusers.contains(self.by()) || random.nextDouble() * present() < ASK_SUSPECT) {
+      if (b.accusers().contains(self.by()) || random.nextDouble() * present() < ASK_SUSPECT) {
         send(Kind.PING, ++sequence, b.word.card().at(), b.word.card().name(), null);
       }
     }
-    if (now - b.since >= Suspicion.time(settings, present(), b.accusers.size())) {
+    if (now - b.since >= Suspicion.time(settings, present(), b.accusers().size())) {
       believe(b, new Update(b.word.card(), b.word.life(), Status.DEAD, self.by()), now, "its time");
     }
   }
@@ -298,7 +303,7 @@
     boolean joins = fresh && sender.status() == Status.ALIVE && roster.get(sender.card().name()) != null;
     if (joins) {
       outbox.pages(self, from, WELCOME);
-    } else if (m.kind() != Kind.NEWS && m.digest() != outbox.digest(self) && now - pagedAt >= settings.interval()) {
+    } else if (m.kind() != Kind.NEWS && m.digest() != digest() && now - pagedAt >= settings.interval()) {
       pagedAt = now;
       outbox.pages(self, from, PAGES);
     }
@@ -374,7 +379,7 @@
     } else if (u.overrides(b.word)) {
       believe(b, u, now, by);
     } else if (b.status() == Status.SUSPECT && u.status() == Status.SUSPECT && u.life().equals(b.word.life())
-        && b.accusers.size() < 8 && b.accusers.add(u.by())) {
+        && b.accused(u.by())) {
       b.word = u; // passed on as well: it is another's independent word
       gossip.changed(u.card().name());
     }
@@ -389,7 +394,7 @@
   private void told(Belief b, double now, Status before, String by) {
     b.by = by;
     if (b.status() == Status.SUSPECT) {
-      b.accusers.add(b.word.by());
+      b.accused(b.word.by());
     }
     gossip.changed(b.word.card().name());
     if (b.status() != before) {
--- a/src/main/java/rillyard/member/Roster.java
+++ b/src/main/java/rillyard/member/Roster.java
@@ -88,7 +88,7 @@
     count(word, 1);
     b.word = word;
     b.since = now;
-    b.accusers.clear();
+    b.acquit();
     mark(b);
   }
 
@@ -164,7 +164,7 @@
   String state(double now) {
     StringBuilder s = new StringBuilder();
     new TreeMap<>(beliefs).values().forEach(b -> s.append("; ").append(b.word).append(now - b.since).append(' ')
-        .append(b.askAt - now).append(new TreeSet<>(b.accusers)));
+        .append(b.askAt - now).append(new TreeSet<>(b.accusers())));
     suspects.forEach(b -> s.append(b.word.card().name()));
     return s + "; " + round + next + " " + all + cursor;
   }
--- a/src/test/java/rillyard/member/MembershipTest.java
+++ b/src/test/java/rillyard/member/MembershipTest.java
@@ -68,6 +68,63 @@
     assertThat(f.untilAgreed(30 * S)).as("agreed").isNotNegative();
   }
 
+  @Test
+  void partsThatWereCutInThreeAreOneAgain() {
+    VirtualFleet f = joined(14, 45);
+    f.links = (a, b) -> number(a) % 3 == number(b) % 3;
+    f.run(60 * S);
+    assertThat(f.node(0).member.present()).isEqualTo(15);
+    f.links = (a, b) -> true;
+    assertThat(f.untilAgreed(30 * S)).as("agreed").isNotNegative();
+  }
+
+  /** Between two members that costs nobody its life; all links of one may cost its own, and it is back. */
+  @Test
+  void linksThatFlapEverySecondForAMinuteTakeNobodyElse() {
+    VirtualFleet f = joined(15, 40);
+    f.links = (a, b) -> !(a.equals("m3") && b.equals("m9") || a.equals("m9") && b.equals("m3")) || (long) (f.now / S) % 2 == 0;
+    f.run(60 * S);
+    assertThat(f.deaths).isEmpty();
+    f.links = (a, b) -> !a.equals("m9") && !b.equals("m9") || (long) (f.now / S) % 2 == 0;
+    f.run(60 * S);
+    assertThat(f.deaths.stream().filter(d -> !d.equals("m9"))).isEmpty();
+    f.links = (a, b) -> true;
+    assertThat(f.untilAgreed(30 * S)).as("agreed").isNotNegative();
+  }
+
+  @Test
+  void twoHundredRestartedWithinASecondAreOneFleetAgain() {
+    VirtualFleet f = joined(16, 200);
+    for (int i = 0; i < 200; i++) {
+      f.kill(i);
+      f.run(5);
+      f.start(i);
+    }
+    assertThat(f.untilAgreed(30 * S)).as("agreed").isNotNegative();
+    assertThat(f.deaths).isEmpty();
+  }
+
+  @Test
+  void aRollingRestartATenthAtATimeCostsNobodyElseItsLife() {
+    VirtualFleet f = joined(17, 60);
+    for (int tenth = 0; tenth < 10; tenth++) {
+      for (int i = tenth; i < 60; i += 10) {
+        f.kill(i);
+      }
+      f.run(3 * S);
+      for (int i = tenth; i < 60; i += 10) {
+        f.start(i);
+      }
+      f.run(2 * S);
+    }
+    assertThat(f.untilAgreed(30 * S)).as("agreed").isNotNegative();
+    assertThat(f.deaths).isEmpty();
+  }
+
+  private static int number(String name) {
+    return Integer.parseInt(name.substring(1));
+  }
+
   private static int half(String name) {
     return Integer.parseInt(name.substring(1)) % 2;
   }
