Evenness, herds and idle hosts over all proxies, beside what chance would give

Need: whether hundreds of proxies herd can't be seen from one of them, and a herd has to be told from noise. Change: rillyard.spread.measure, pure: evenness by window in shares of each host, herds by binomial tails over one, four and sixteen answer times with the bound cut by the stretches looked at, idle hosts while others queue; what proxies had in common just before. Trials tell it from their ledgers.

--- a/src/main/java/rillyard/trial/Trial.java
+++ b/src/main/java/rillyard/trial/Trial.java
@@ -89,7 +89,8 @@
   }
 
   private void audit(TrialResult result, LoadRun load, Path config) throws Exception {
-    result.served(TrialAudit.of(file(CLIENTS), file(HOSTS), config, plan, result.done()));
+    result.served(TrialAudit.of(file(CLIENTS), file(HOSTS), config, plan, result.done()),
+        TrialSpread.of(file(CLIENTS), file(HOSTS), plan, result.done()), load.startedMicros());
     List<Report.Mark> marks = new ArrayList<>(Marks.read(file(HOSTS), load.startedMicros()));
     for (TrialResult.Done d : result.done()) {
       String where = d.fault().place() == Fault.Place.PROCESSES ? "processes" : "network";
--- a/src/main/java/rillyard/trial/TrialResult.java
+++ b/src/main/java/rillyard/trial/TrialResult.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import rillyard.spread.measure.Spread;
 
 /** What came of a trial. */
 public final class TrialResult {
@@ -27,6 +28,8 @@
   private final Beliefs beliefs;
   private final String expense;
   private TrialAudit audit;
+  private Spread spread;
+  private long zero;
 
   TrialResult(TrialPlan plan, long begun, List<Done> done, Set<String> living, Beliefs beliefs, String expense) {
     this.plan = plan;
@@ -42,9 +45,16 @@
     return done;
   }
 
-  /** The audit of what clients asked for. */
-  void served(TrialAudit a) {
+  /** The audit of what clients asked for, and how the hosts were loaded; times of the latter count from {@code zero} (us). */
+  void served(TrialAudit a, Spread s, long zero) {
     this.audit = a;
+    this.spread = s;
+    this.zero = zero;
+  }
+
+  /** How the hosts were loaded; null where clients asked for nothing. */
+  public Spread spread() {
+    return spread;
   }
 
   /** The audit of what clients asked for; null where they asked for nothing. */
@@ -159,6 +169,9 @@
       audit.verdict().breaches().stream().limit(10).forEach(b -> s.append("  ").append(b.rule()).append(": ").append(b.what()).append('\n'));
       audit.verdict().doubts().forEach(d -> s.append("  doubt: ").append(d).append('\n'));
     }
+    if (spread != null) {
+      s.append(spread.words(zero));
+    }
     return s.toString();
   }
 }
--- a/src/test/java/rillyard/ArchitectureTest.java
+++ b/src/test/java/rillyard/ArchitectureTest.java
@@ -46,7 +46,7 @@
           .should().dependOnClassesThat()
           .resideInAnyPackage(
               "rillyard.load..", "rillyard.standin..", "rillyard.audit..", "rillyard.demo..",
-              "rillyard.ledger..", "rillyard.timing..", "rillyard.input..", "rillyard.cli..", "rillyard.process..", "rillyard.measure..", "rillyard.subset..", "rillyard.member..", "rillyard.trial..",
+              "rillyard.ledger..", "rillyard.timing..", "rillyard.input..", "rillyard.cli..", "rillyard.process..", "rillyard.measure..", "rillyard.subset..", "rillyard.member..", "rillyard.trial..", "rillyard.spread..", "org.apache.commons.statistics..",
               "picocli..", "org.HdrHistogram..", "com.fasterxml.jackson.dataformat..", "io.netty.channel.epoll..")
           .because("the platform's process loads none of it");
 
--- a/src/test/java/rillyard/trial/TrialServingIT.java
+++ b/src/test/java/rillyard/trial/TrialServingIT.java
@@ -76,6 +76,8 @@
     assertThat(r.audit().verdict().tries()).isGreaterThan(2_000);
     assertThat(r.audit().notOwed()).as(r.report()).isBetween(1, r.audit().verdict().tries() / 4);
     assertThat(out.resolve("report.html")).content().contains("refused zone:0 to hosts s-0");
+    assertThat(r.spread().windows()).as(r.report()).hasSizeGreaterThan(10);
+    assertThat(r.report()).contains("largest over mean", "herds: ", "idle hosts: ");
     assertThat(Files.readAllLines(out.resolve("history.jsonl"))).hasSizeGreaterThan(36);
     // Each client has a proxy of its own: what those of zone 1 ask for can't come to the host that is cut off from them.
     long from = time(r, true) + 300;
