--- a/src/main/java/rillyard/member/Membership.java
+++ b/src/main/java/rillyard/member/Membership.java
@@ -193,12 +193,14 @@
 
   /**
    * A suspect is asked again and again, so that it hears of it and its word is heard, also where much gets
-   * lost: by those who accuse it, and by a few of the others.
+   * lost: by those who accuse it, by a few of the others, and by whoever has not heard its word when that should
+   * long be round. Guards against the one in hundreds whom the word passed by.
    */
   private void suspected(Belief b, double now) {
     if (now >= b.askAt) {
       b.askAt = now + settings.interval();
-      if (b.accusers().contains(self.by()) || random.nextDouble() * present() < ASK_SUSPECT) {
+      boolean late = now - b.since >= settings.leastSuspicion(present()) / 2;
+      if (late || b.accusers().contains(self.by()) || random.nextDouble() * present() < ASK_SUSPECT) {
         send(Kind.PING, ++sequence, b.word.card().at(), b.word.card().name(), null);
       }
     }
--- a/src/test/java/rillyard/member/MemberFiguresTest.java
+++ b/src/test/java/rillyard/member/MemberFiguresTest.java
@@ -1,6 +1,7 @@
 package rillyard.member;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -21,6 +22,7 @@
   @ParameterizedTest
   @ValueSource(doubles = {0, 0.05, 0.3})
   void figures(double loss) {
+    assumeTrue(loss >= Double.parseDouble(System.getProperty("rillyard.figures.loss", "0")));
     int members = Integer.getInteger("rillyard.figures");
     double seconds = Integer.getInteger("rillyard.figures.seconds", 600);
     for (long seed = 1; seed <= Integer.getInteger("rillyard.figures.seeds", 3); seed++) {
--- a/src/test/java/rillyard/member/MembershipTest.java
+++ b/src/test/java/rillyard/member/MembershipTest.java
@@ -121,6 +121,24 @@
     assertThat(f.deaths).isEmpty();
   }
 
+  /** The word that it lives passes one by, who alone can ask it; the others' words don't come to that one. */
+  @ParameterizedTest
+  @ValueSource(longs = {20, 23})
+  void aSuspectWhoseWordDoesNotComeRoundIsAskedBeforeItsTimeIsUp(long seed) {
+    VirtualFleet f = joined(seed, 200);
+    VirtualFleet.Node one = f.node(9);
+    f.links = (a, b) -> !a.equals("m9") && !b.equals("m9") || a.equals("m4") || b.equals("m4");
+    Update m4 = f.node(4).member.self();
+    Update suspect = new Update(m4.card(), m4.life(), Status.SUSPECT, Update.by("m5"));
+    one.member.received(f.now, f.node(5).at,
+        new Message(Message.Kind.NEWS, 0, 0, f.node(5).member.self(), "", null, List.of(suspect)));
+    assertThat(one.member.others()).contains(suspect);
+    f.run(40 * S);
+    assertThat(one.changes.stream().filter(c -> c.now().status() == Status.DEAD).map(c -> c.now().card().name()))
+        .doesNotContain("m4");
+    assertThat(f.node(4).member.self().life().incarnation()).isPositive();
+  }
+
   private static int number(String name) {
     return Integer.parseInt(name.substring(1));
   }
