--- a/src/main/java/rillyard/spread/measure/IdleHosts.java
+++ b/src/main/java/rillyard/spread/measure/IdleHosts.java
@@ -25,16 +25,20 @@
     Map<String, List<Long>> byHost = new HashMap<>();
     arrivals.forEach(a -> byHost.computeIfAbsent(a.host(), h -> new ArrayList<>()).add(a.at()));
     List<IdleHost> pauses = new ArrayList<>();
+    // Before the first request came and after the last nobody is idle.
+    long began = arrivals.isEmpty() ? 0 : arrivals.get(0).at();
+    long over = arrivals.isEmpty() ? 0 : arrivals.get(arrivals.size() - 1).at();
     for (Map.Entry<String, List<long[]>> e : hosts.spans().entrySet()) {
       for (long[] span : e.getValue()) {
-        long from = span[0];
+        long from = Math.max(began, span[0]);
+        long until = Math.min(over, span[1]);
         for (long at : byHost.getOrDefault(e.getKey(), List.of())) {
-          if (at >= span[0] && at < span[1]) {
+          if (at >= from && at < until) {
             pause(e.getKey(), from, at, least, pauses);
             from = at;
           }
         }
-        pause(e.getKey(), from, span[1], least, pauses);
+        pause(e.getKey(), from, until, least, pauses);
       }
     }
     double bound = Herds.FALSE_ALARM / Math.max(1, arrivals.size() + hosts.spans().size());
--- a/src/test/java/rillyard/spread/measure/SpreadTest.java
+++ b/src/test/java/rillyard/spread/measure/SpreadTest.java
@@ -114,6 +114,11 @@
       }
     }
     assertThat(Spread.of(without, down, List.of(), S).idle()).isEmpty();
+    HostTimes early = new HostTimes();
+    for (int h = 0; h < HOSTS; h++) {
+      early.add("s-" + h, 1, -60 * S, SECONDS * S + 60 * S);
+    }
+    assertThat(Spread.of(without, early, List.of(), S).idle()).as("before the first and after the last").hasSize(1);
     List<Arrival> calm = without.stream().map(a -> new Arrival(a.at(), a.host(), a.proxy(), true, 0, 20_000)).toList();
     assertThat(Spread.of(calm, all(), List.of(), S).idle()).as("where nobody queues").isEmpty();
   }
