Processes of a trial get ports that no connection is given by itself

Cause: a trial of 150 ended at its start: m146 could not listen, its port was taken. Ports had been tried and given back, then 41 ways listened on ports of the same address that the system chose, and took it: some 0.3 % a process. Change: TrialFleet takes ports from 20,000 on, below those that Linux gives out.

--- a/src/main/java/rillyard/trial/TrialFleet.java
+++ b/src/main/java/rillyard/trial/TrialFleet.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -24,6 +25,11 @@
   /** Processes that all others may ask for the way in. */
   private static final int SEEDS = 3;
 
+  /** Ports below those that Linux gives out by itself (from 32,768 on), which ways and their connections have. */
+  private static final int FIRST_PORT = 20_000;
+
+  private static final int LAST_PORT = 30_000;
+
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final TrialPlan plan;
@@ -56,16 +62,13 @@
     Room.check(members.size(), plan.hosts().hosts().size());
     long pid = ProcessHandle.current().pid();
     for (TrialMember m : members) {
-      // A network of this trial's own, so that a port that was free a moment ago is free still.
+      // A network of this trial's own, and ports that no connection is given by itself: what is free now is free still
+      // when the process starts, and when it starts again.
       byte[] ip = {127, (byte) (10 + pid % 200), (byte) (m.index() / 250), (byte) (1 + m.index() % 250)};
       InetAddress address = InetAddress.getByAddress(ip);
-      try (DatagramSocket s = new DatagramSocket(0, address);
-          ServerSocket t = new ServerSocket(0, 1, address);
-          ServerSocket u = new ServerSocket(0, 1, address)) {
-        admin.add(new InetSocketAddress(address, u.getLocalPort()));
-        own.add(new InetSocketAddress(address, s.getLocalPort()));
-        serving.add(new InetSocketAddress(address, t.getLocalPort()));
-      }
+      own.add(free(address, FIRST_PORT, true));
+      serving.add(free(address, FIRST_PORT, false));
+      admin.add(free(address, serving.get(m.index()).getPort() + 1, false));
     }
     this.relays = new Relays(members, own, new LinkFaults(plan.seed()));
     this.hosts = new StandIn(plan.hosts(), new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 2, ledger,
@@ -82,6 +85,23 @@
     }
   }
 
+  /** The first port from {@code from} on that nobody has. */
+  private static InetSocketAddress free(InetAddress address, int from, boolean datagrams) throws IOException {
+    for (int port = from; port < LAST_PORT; port++) {
+      try {
+        if (datagrams) {
+          new DatagramSocket(port, address).close();
+        } else {
+          new ServerSocket(port, 1, address).close();
+        }
+        return new InetSocketAddress(address, port);
+      } catch (BindException e) {
+        // taken: the next
+      }
+    }
+    throw new IOException("no port from " + from + " to " + LAST_PORT + " is free on " + address.getHostAddress());
+  }
+
   /** Opens a process's ways to discovery and to all hosts, and writes its configuration. */
   private void configure(TrialMember m) throws Exception {
     InetAddress address = own.get(m.index()).getAddress();
--- a/src/test/java/rillyard/trial/TrialServingIT.java
+++ b/src/test/java/rillyard/trial/TrialServingIT.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashSet;
@@ -79,6 +80,11 @@
     assertThat(r.spread().windows()).as(r.report()).hasSizeGreaterThan(10);
     assertThat(r.report()).contains("largest over mean", "herds: ", "idle hosts: ");
     assertThat(Files.readAllLines(out.resolve("history.jsonl"))).hasSizeGreaterThan(36);
+    // None of a port that a way, or a connection on it, is given by itself while the process is not there to hold it.
+    for (int i = 0; i < 6; i++) {
+      String listen = new ObjectMapper().readTree(out.resolve("m" + i + ".json").toFile()).path("listen").asText();
+      assertThat(Integer.parseInt(listen.substring(listen.indexOf(':') + 1))).isLessThan(32_768);
+    }
     // Each client has a proxy of its own: what those of zone 1 ask for can't come to the host that is cut off from them.
     long from = time(r, true) + 300;
     long until = time(r, false);
