--- a/src/main/java/rillyard/cli/TrialCommand.java
+++ b/src/main/java/rillyard/cli/TrialCommand.java
@@ -30,7 +30,7 @@
   @Command(
       name = "run",
       description = {
-        "Runs a plan and tells what the processes believed of each other (docs/membership.md). Ends with 1",
+        "Runs a plan and tells what the processes believed and what clients were served (docs/trials.md). Ends with 1",
         "if a process that could be heard was held dead, if those that live don't agree in the end, or if a",
         "rule of the proxies was broken."
       },
