Reading again: a host that is down is called once for all ways to it; one piece each way

A fault that changed while a piece was held could have a later one overtake it. The trial asked /_health by code of its own that ProxyProcess has. A test took a reset for a failure. Change: LinkTarget calls for all ways together; a way reads its next piece when the last is gone; ProxyProcess.state; which process serves a client stands once (TrialPlan.serving).

--- a/src/main/java/rillyard/trial/HostLink.java
+++ b/src/main/java/rillyard/trial/HostLink.java
@@ -1,8 +1,8 @@
 package rillyard.trial;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -16,24 +16,19 @@
 
 /** One process's way to one host: a listener of its own and the connections on it. All on one event loop. */
 final class HostLink {
-  /** So long (ms) after a host refused its way listens again, to see whether the host does. */
-  private static final long LOOK_MS = 50;
+  /** So long (ms) after its port was still held the way tries to listen again. */
+  private static final long AGAIN_MS = 20;
 
   private final TrialMember from;
-  private final String host;
-  private final String zone;
-  private final InetSocketAddress target;
+  private final LinkTarget target;
   private final EventLoop loop;
   private final HostLinks faults;
   private final Set<LinkedPair> pairs = new LinkedHashSet<>();
   private InetSocketAddress address;
   private Channel listener;
-  private boolean targetDown;
 
-  HostLink(TrialMember from, String host, String zone, InetSocketAddress target, EventLoop loop, HostLinks faults) {
+  HostLink(TrialMember from, LinkTarget target, EventLoop loop, HostLinks faults) {
     this.from = from;
-    this.host = host;
-    this.zone = zone;
     this.target = target;
     this.loop = loop;
     this.faults = faults;
@@ -44,6 +39,7 @@
     address = new InetSocketAddress(own, 0);
     listener = listen().bind(address).sync().channel();
     address = (InetSocketAddress) listener.localAddress();
+    loop.submit(() -> target.add(this)).sync();
   }
 
   /** Where the process is to call. */
@@ -65,13 +61,13 @@
   }
 
   HostLinks.Way way() {
-    return faults.way(from, host, zone);
+    return faults.way(from, target.host, target.zone);
   }
 
-  /** Faults have begun or ended. */
+  /** Faults have begun or ended, or the host refuses, or is back. */
   void changed() {
     HostLinks.Way way = way();
-    boolean listening = !way.refused() && !targetDown;
+    boolean listening = !way.refused() && !target.down();
     if (!listening && listener != null) {
       listener.close();
       listener = null;
@@ -79,7 +75,7 @@
       listener = listen().bind(address).addListener(f -> {
         if (!f.isSuccess()) { // what closed a moment ago may hold the port still
           listener = null;
-          loop.schedule(this::changed, LOOK_MS, TimeUnit.MILLISECONDS);
+          loop.schedule(this::changed, AGAIN_MS, TimeUnit.MILLISECONDS);
         }
       }).channel();
     }
@@ -108,50 +104,16 @@
     }
   }
 
-  /** Calls the host for a connection; from the process's own address, by which discovery knows it. */
+  /** Calls the host for a connection. */
   void connect(LinkedPair pair) {
     pair.connecting();
-    new Bootstrap().group(loop).channel(Loops.connecting())
-        .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.AUTO_READ, false)
-        .handler(new ChannelInitializer<SocketChannel>() {
-          @Override
-          protected void initChannel(SocketChannel ch) {}
-        })
-        .connect(target, new InetSocketAddress(address.getAddress(), 0))
-        .addListener((io.netty.channel.ChannelFutureListener) f -> {
-          if (f.isSuccess()) {
-            pair.connected((SocketChannel) f.channel());
-          } else {
-            pair.reset();
-            targetDown();
-          }
-        });
-  }
-
-  /** The host refuses: so does the way to it, until the host is back. */
-  private void targetDown() {
-    if (!targetDown) {
-      targetDown = true;
-      changed();
-      loop.schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void look() {
-    new Bootstrap().group(loop).channel(Loops.connecting())
-        .handler(new ChannelInitializer<SocketChannel>() {
-          @Override
-          protected void initChannel(SocketChannel ch) {}
-        })
-        .connect(target).addListener((io.netty.channel.ChannelFutureListener) f -> {
-          if (f.isSuccess()) {
-            f.channel().close();
-            targetDown = false;
-            changed();
-          } else if (!loop.isShuttingDown()) {
-            loop.schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
-          }
-        });
+    target.call(address.getAddress()).addListener((ChannelFutureListener) f -> {
+      if (f.isSuccess()) {
+        pair.connected((SocketChannel) f.channel());
+      } else {
+        pair.reset();
+        target.refused();
+      }
+    });
   }
 }
--- a/src/main/java/rillyard/trial/HostRelays.java
+++ b/src/main/java/rillyard/trial/HostRelays.java
@@ -4,7 +4,6 @@
 import io.netty.channel.EventLoopGroup;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,7 +15,7 @@
   private final EventLoopGroup group = Loops.group(1, "host-relays");
   private final EventLoop loop = group.next();
   private final HostLinks faults = new HostLinks();
-  private final List<HostLink> links = new ArrayList<>();
+  private final Map<InetSocketAddress, LinkTarget> targets = new HashMap<>();
   /** By the process's address and the host's: what a process is told instead. */
   private final Map<InetAddress, Map<String, String>> told = new HashMap<>();
 
@@ -29,9 +28,9 @@
    */
   synchronized InetSocketAddress open(TrialMember from, InetAddress own, String host, String zone, InetSocketAddress target)
       throws Exception {
-    HostLink link = new HostLink(from, host, zone, target, loop, faults);
+    LinkTarget called = targets.computeIfAbsent(target, t -> new LinkTarget(host, zone, t, loop));
+    HostLink link = new HostLink(from, called, loop, faults);
     link.open(own);
-    links.add(link);
     told.computeIfAbsent(own, a -> new HashMap<>()).put(text(target), text(link.address()));
     return link.address();
   }
@@ -44,19 +43,19 @@
   void begin(Fault f) {
     loop.execute(() -> {
       faults.begin(f);
-      links().forEach(HostLink::changed);
+      targets().forEach(LinkTarget::changed);
     });
   }
 
   void end(Fault f) {
     loop.execute(() -> {
       faults.end(f);
-      links().forEach(HostLink::changed);
+      targets().forEach(LinkTarget::changed);
     });
   }
 
-  private synchronized List<HostLink> links() {
-    return List.copyOf(links);
+  private synchronized List<LinkTarget> targets() {
+    return List.copyOf(targets.values());
   }
 
   static String text(InetSocketAddress a) {
--- a/src/main/java/rillyard/trial/LinkedPair.java
+++ b/src/main/java/rillyard/trial/LinkedPair.java
@@ -1,25 +1,25 @@
 package rillyard.trial;
 
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
-/** A connection of a process's and the one to its host that goes with it. Reads one piece at a time each way. */
+/** A connection of a process's and the one to its host that goes with it. */
 final class LinkedPair {
   private final SocketChannel front;
   private final HostLink link;
+  private final Passing there;
   private SocketChannel back;
+  private Passing here;
   private boolean connecting;
 
   LinkedPair(SocketChannel front, HostLink link) {
     this.front = front;
     this.link = link;
-    front.pipeline().addLast(new Passing());
+    this.there = new Passing(front);
   }
 
   void connecting() {
@@ -32,30 +32,28 @@
       ch.close();
       return;
     }
-    ch.pipeline().addLast(new Passing());
-    read();
+    here = new Passing(ch);
+    goOn();
   }
 
-  private void read() {
-    front.read();
-    back.read();
+  private void goOn() {
+    there.goOn();
+    here.goOn();
   }
 
   /** Goes on, or ends, as the faults that are under way now have it. */
   void changed(HostLinks.Way way) {
     if (way.reset()) {
       reset();
-    } else if (!way.silent()) {
-      if (back != null && (!front.isActive() || !back.isActive())) {
-        front.close();
-        back.close();
-      } else if (back != null) {
-        front.pipeline().get(Passing.class).goOn();
-        back.pipeline().get(Passing.class).goOn();
-        read();
-      } else if (!connecting) {
+    } else if (!way.silent() && back == null) {
+      if (!connecting) {
         link.connect(this);
       }
+    } else if (!way.silent() && front.isActive() && back.isActive()) {
+      goOn();
+    } else if (!way.silent()) {
+      front.close();
+      back.close();
     }
   }
 
@@ -79,68 +77,74 @@
     return !front.isOpen() && (back == null || !back.isOpen());
   }
 
-  /** One way: a piece is read, held as long as the faults say, and passed on before the next is read. */
+  /**
+   * One way: a piece is read, held as long as the faults say, and passed on before the next is read, so that none
+   * overtakes another when a fault ends.
+   */
   private final class Passing extends ChannelInboundHandlerAdapter {
-    private ChannelHandlerContext context;
-    private final ArrayDeque<Object> waiting = new ArrayDeque<>();
-    private int held;
+    private final SocketChannel from;
+    private boolean busy;
+    private Object waiting;
     private boolean ended;
 
-    @Override
-    public void handlerAdded(ChannelHandlerContext ctx) {
-      context = ctx;
+    Passing(SocketChannel from) {
+      this.from = from;
+      from.pipeline().addLast(this);
+    }
+
+    private SocketChannel to() {
+      return from == front ? back : front;
+    }
+
+    /** Passes on what came during a silence, or reads the next piece. */
+    void goOn() {
+      if (waiting != null) {
+        Object piece = waiting;
+        waiting = null;
+        hold(piece);
+      } else if (!busy) {
+        from.read();
+      }
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object piece) {
-      held++;
+      busy = true;
       if (link.way().silent()) {
-        waiting.add(piece); // its read was asked for before the silence
+        waiting = piece; // its read was asked for before the silence
       } else {
-        pass(piece);
+        hold(piece);
       }
     }
 
-    /** Passes on what came during a silence. */
-    void goOn() {
-      while (!waiting.isEmpty()) {
-        pass(waiting.poll());
-      }
-    }
-
-    private void pass(Object piece) {
-      ChannelHandlerContext ctx = context;
+    private void hold(Object piece) {
       double late = link.way().lateMs();
       if (late > 0) {
-        ctx.channel().eventLoop().schedule(() -> pass(ctx, piece), (long) (late * 1_000), TimeUnit.MICROSECONDS);
+        from.eventLoop().schedule(() -> pass(piece), (long) (late * 1_000), TimeUnit.MICROSECONDS);
       } else {
-        pass(ctx, piece);
+        pass(piece);
       }
     }
 
-    private Channel other(ChannelHandlerContext ctx) {
-      return ctx.channel() == front ? back : front;
-    }
-
-    private void pass(ChannelHandlerContext ctx, Object piece) {
-      other(ctx).writeAndFlush(piece).addListener(f -> {
-        held--;
-        if (ended && held == 0) {
-          other(ctx).close();
+    private void pass(Object piece) {
+      to().writeAndFlush(piece).addListener(f -> {
+        busy = false;
+        if (ended) {
+          to().close();
         } else if (f.isSuccess() && !link.way().silent()) {
-          ctx.read();
+          from.read();
         }
       });
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      waiting.forEach(ReferenceCountUtil::release);
-      waiting.clear();
-      Channel other = other(ctx);
       ended = true;
-      if (other != null && held == 0 && !link.way().silent()) { // its end would be a sign of life where nothing passes
-        other.close();
+      ReferenceCountUtil.release(waiting);
+      busy &= waiting == null;
+      waiting = null;
+      if (to() != null && !busy && !link.way().silent()) { // its end would be a sign of life where nothing passes
+        to().close();
       }
       link.closed(LinkedPair.this);
     }
--- a/src/main/java/rillyard/trial/Trial.java
+++ b/src/main/java/rillyard/trial/Trial.java
@@ -21,6 +21,7 @@
 import rillyard.load.Report;
 import rillyard.load.ReportFiles;
 import rillyard.process.Launch;
+import rillyard.process.ProxyProcess;
 
 /** Runs a plan: starts the processes, carries the timetable out, and tells what they believed. */
 public final class Trial {
@@ -151,7 +152,7 @@
     int started = 0;
     for (TrialMember m : fleet.members()) {
       while (starting.size() >= atOnce) {
-        starting.removeIf(s -> Health.serves(fleet.serving().get(s.index())));
+        starting.removeIf(s -> ProxyProcess.state(fleet.serving().get(s.index())) == ProxyProcess.State.READY);
         checkAlive(fleet, starting);
         Thread.sleep(START_POLL_MS);
       }
@@ -164,7 +165,7 @@
       }
     }
     while (!starting.isEmpty()) {
-      starting.removeIf(s -> Health.serves(fleet.serving().get(s.index())));
+      starting.removeIf(s -> ProxyProcess.state(fleet.serving().get(s.index())) == ProxyProcess.State.READY);
       checkAlive(fleet, starting);
       Thread.sleep(START_POLL_MS);
     }
--- a/src/main/java/rillyard/trial/TrialAudit.java
+++ b/src/main/java/rillyard/trial/TrialAudit.java
@@ -44,7 +44,7 @@
 
   /** Whether its process was killed or stood still while it was under way. */
   private static boolean hit(ClientTry t, TrialPlan plan, List<TrialResult.Done> done) {
-    TrialMember own = plan.member(t.client() % plan.processes());
+    TrialMember own = plan.serving(t.client());
     for (TrialResult.Done d : done) {
       Fault f = d.fault();
       boolean halts = f.place() == Fault.Place.PROCESSES && f.kind() != Fault.Kind.TERM && f.on().has(own);
--- a/src/main/java/rillyard/trial/TrialPlan.java
+++ b/src/main/java/rillyard/trial/TrialPlan.java
@@ -35,6 +35,11 @@
     return TrialMember.of(index, zones, regions);
   }
 
+  /** The process that serves a client: {@link rillyard.load.LoadRun} gives each the target of its number. */
+  TrialMember serving(int client) {
+    return member(client % processes);
+  }
+
   /** The rate of a process's clock, 1 as a rule. */
   double clockRate(TrialMember m) {
     return clocks.stream().filter(c -> c.on().has(m)).mapToDouble(Clock::rate).findFirst().orElse(1);
--- a/src/main/java/rillyard/trial/TrialSpread.java
+++ b/src/main/java/rillyard/trial/TrialSpread.java
@@ -59,7 +59,7 @@
   private void arrived(HostRun r) {
     last = Math.max(last, r.received());
     Integer client = clients.get(r.id());
-    String proxy = client == null ? "?" : "m" + client % plan.processes();
+    String proxy = client == null ? "?" : plan.serving(client).name();
     long waited = (r.started() == 0 ? r.ended() : r.started()) - r.received();
     arrivals.add(new Arrival(r.received(), r.host(), proxy, r.attempt() == 0, waited, r.ended() - r.received()));
   }
--- a/src/test/java/rillyard/trial/HostRelaysTest.java
+++ b/src/test/java/rillyard/trial/HostRelaysTest.java
@@ -9,7 +9,11 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -22,6 +26,8 @@
   private static final TrialMember B = TrialMember.of(1, 2, 1);
 
   private final HostRelays relays = new HostRelays();
+  /** Connections that ended with not a byte on them. */
+  private final AtomicInteger empty = new AtomicInteger();
   private ServerSocket host;
   private InetSocketAddress wayA;
   private InetSocketAddress wayB;
@@ -42,13 +48,15 @@
     t.start();
   }
 
-  private static void serve(ServerSocket at) {
+  private void serve(ServerSocket at) {
     try {
       while (true) {
         Socket s = at.accept();
         Thread t = new Thread(() -> {
           try (s) {
-            s.getInputStream().transferTo(s.getOutputStream());
+            if (s.getInputStream().transferTo(s.getOutputStream()) == 0) {
+              empty.incrementAndGet();
+            }
           } catch (IOException e) {
             // reset
           }
@@ -146,6 +154,26 @@
     awaitWay(wayB);
   }
 
+  @Test
+  void manyWaysToAHostThatIsDownCallItForAllOfThemTogether() throws Exception {
+    InetSocketAddress at = (InetSocketAddress) host.getLocalSocketAddress();
+    List<InetSocketAddress> ways = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      TrialMember m = TrialMember.of(10 + i, 1, 1);
+      ways.add(relays.open(m, InetAddress.getByName("127.0.0." + (10 + i)), "s-0", "a", at));
+    }
+    host.close();
+    for (InetSocketAddress way : ways) {
+      awaitRefusal(way);
+    }
+    listen(at.getPort());
+    for (InetSocketAddress way : ways) {
+      awaitWay(way);
+    }
+    relays.close(); // ends the last of what was open
+    assertThat(empty.get()).isLessThan(5);
+  }
+
   @Test
   void slowBytesComeLaterAndInOrder() throws Exception {
     relays.begin(fault(Fault.Kind.SLOW, 60));
@@ -165,6 +193,8 @@
         Thread.sleep(5);
       } catch (ConnectException e) {
         return;
+      } catch (SocketException e) {
+        // taken in the moment in which the way was closed, and reset
       }
     }
   }
