--- a/src/main/java/rillyard/member/Fact.java
+++ b/src/main/java/rillyard/member/Fact.java
@@ -42,6 +42,9 @@
     return value.length == 0;
   }
 
+  /** The bytes of the shortest. */
+  static final int LEAST_SIZE = 18;
+
   int size() {
     return 17 + owner.length() + value.length;
   }
--- a/src/main/java/rillyard/member/Facts.java
+++ b/src/main/java/rillyard/member/Facts.java
@@ -1,84 +1,97 @@
 package rillyard.member;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * The facts that are known, and which of them to pass on. A fact is believed of a member that is present, in the life that
- * said it, until it ends; the owner says it again in time. Bounded by the members that are kept, times the kinds.
+ * said it, until it ends; the owner says it again in time. One that ended is kept until its member is forgotten, so that no
+ * older one is believed after it. Bounded by the members that are kept, times the kinds.
  */
 final class Facts {
   /** An owner says a fact again when this share of its time is over: two of its tellings may get lost. */
   private static final double AGAIN = 1 / 3.0;
 
-  /** An owner's facts of a kind change at most so often a second, but for the first. */
+  /** An owner's facts of a kind change at most so often a second over its life, but for the first. */
   private static final double MOST_A_SECOND = 10;
 
   private static final long FIRST = 1_024;
 
   private record Key(String owner, int kind) {}
 
-  private static final class Entry {
-    final Key key;
-    Fact fact;
-    double bornAt;
-    int sent;
-    /** Still to be passed on; {@code urgent} also by datagrams of its own, else where there is room. */
-    boolean queued;
-    boolean urgent;
-
-    Entry(Key key) {
-      this.key = key;
-    }
-
+  /** A fact, and when (ms) its owner said it. */
+  private record Held(Fact fact, double bornAt) {
     double age(double now) {
       return Math.max(0, now - bornAt);
     }
+
+    boolean over(double now) {
+      return age(now) >= fact.lasts();
+    }
+
+    /** As it is passed on at a time. */
+    Fact at(double now) {
+      return new Fact(fact.owner(), fact.start(), fact.kind(), fact.version(), Math.min(Fact.MAX_MS, age(now)),
+          fact.lasts(), fact.value());
+    }
   }
 
-  private final Map<Key, Entry> entries = new HashMap<>();
-  private final Map<Key, Entry> queue = new HashMap<>();
-  private int urgent;
+  private final Map<Key, Held> held = new HashMap<>();
+  private final Set<Integer> ownKinds = new TreeSet<>();
+  private final Turns<Key> turns = new Turns<>(Comparator.comparing(Key::owner).thenComparingInt(Key::kind));
+  /** Those of the turns that are worth a datagram of their own: they say something new. */
+  private final Set<Key> urgent = new HashSet<>();
 
-  /** Says a fact of this member's own, an empty value to take it back. */
-  void say(Update self, int kind, byte[] value, double lasts, double now) {
-    Entry e = entries.computeIfAbsent(new Key(self.card().name(), kind), Entry::new);
-    long version = e.fact == null ? 0 : e.fact.version() + 1;
-    set(e, new Fact(self.card().name(), self.life().start(), kind, version, 0, lasts, value), now, true);
+  /**
+   * Says a fact of this member's own, an empty value to take it back.
+   *
+   * @param unixNow this machine's Unix time (ms)
+   * @return whether it is said; not if this member has said so many that nobody would believe one more
+   */
+  boolean say(Update self, int kind, byte[] value, double lasts, long unixNow, double now) {
+    Held before = held.get(new Key(self.card().name(), kind));
+    long version = before == null ? 0 : before.fact.version() + 1;
+    if (!possible(version, self.life().start(), unixNow)) {
+      return false;
+    }
+    ownKinds.add(kind);
+    take(new Fact(self.card().name(), self.life().start(), kind, version, 0, lasts, value), now, true);
+    return true;
   }
 
-  /** What this member says of itself it says again in time; facts that ended long ago are forgotten. */
+  /** What this member says of itself it says again in time. */
   void tick(Update self, double now) {
-    for (int kind = 0; kind <= Fact.MAX_KIND; kind++) {
-      Entry e = entries.get(new Key(self.card().name(), kind));
-      if (e != null && !e.fact.withdrawn() && e.age(now) >= e.fact.lasts() * AGAIN) {
-        Fact f = e.fact;
-        set(e, new Fact(f.owner(), f.start(), kind, f.version() + 1, 0, f.lasts(), f.value()), now, false);
+    for (int kind : ownKinds) {
+      Held h = held.get(new Key(self.card().name(), kind));
+      Fact f = h.fact;
+      if (!f.withdrawn() && h.age(now) >= f.lasts() * AGAIN) {
+        take(new Fact(f.owner(), f.start(), kind, f.version() + 1, 0, f.lasts(), f.value()), now, false);
       }
     }
   }
 
-  private void set(Entry e, Fact f, double now, boolean isNew) {
-    unqueue(e);
-    e.fact = f;
-    e.bornAt = now - f.age();
-    e.sent = 0;
-    e.queued = true;
-    e.urgent = isNew;
-    urgent += isNew ? 1 : 0;
-    queue.put(e.key, e);
+  private void take(Fact f, double now, boolean isNew) {
+    Key key = new Key(f.owner(), f.kind());
+    held.put(key, new Held(f, now - f.age()));
+    turns.add(key);
+    if (isNew) {
+      urgent.add(key);
+    } else {
+      urgent.remove(key);
+    }
   }
 
-  private void unqueue(Entry e) {
-    if (e.queued) {
-      urgent -= e.urgent ? 1 : 0;
-      e.queued = false;
-      queue.remove(e.key);
-    }
+  private void drop(Key key) {
+    turns.remove(key);
+    urgent.remove(key);
   }
 
   /**
@@ -88,107 +101,89 @@
    * @param unixNow this machine's Unix time (ms)
    */
   void heard(Fact f, Update self, Life life, long unixNow, double now) {
-    if (f.owner().equals(self.card().name())) {
-      ownComesBack(f, self, unixNow, now);
+    boolean own = f.owner().equals(self.card().name());
+    Life of = own ? self.life() : life;
+    if (of == null || of.start() != f.start() || !possible(f.version(), f.start(), unixNow)) {
       return;
     }
-    if (life == null || life.start() != f.start() || !possible(f, unixNow)) {
-      return;
-    }
-    Key key = new Key(f.owner(), f.kind());
-    Entry e = entries.get(key);
-    boolean later = e == null || f.start() > e.fact.start() || f.start() == e.fact.start() && f.version() > e.fact.version();
-    if (!later) {
-      return;
-    }
-    if (e == null) {
-      e = new Entry(key);
-      entries.put(key, e);
-    }
-    boolean same = e.fact != null && e.fact.start() == f.start() && java.util.Arrays.equals(e.fact.value(), f.value());
-    set(e, f, now, !same);
-    if (f.age() >= f.lasts() && !f.withdrawn()) {
-      unqueue(e); // over already: kept so that an older one is not believed, not passed on
+    Held h = held.get(new Key(f.owner(), f.kind()));
+    boolean sameLife = h != null && h.fact.start() == f.start();
+    if (own) {
+      ownComesBack(f, h, now);
+    } else if (!sameLife || f.version() > h.fact.version()) {
+      take(f, now, !sameLife || !Arrays.equals(h.fact.value(), f.value()));
+      if (f.age() >= f.lasts() && !f.withdrawn()) {
+        drop(new Key(f.owner(), f.kind())); // over already: not passed on
+      }
     }
   }
 
   /** Somebody has one of this member's name that it never said: the member has the last word. */
-  private void ownComesBack(Fact f, Update self, long unixNow, double now) {
-    if (f.start() != self.life().start() || !possible(f, unixNow)) {
-      return;
-    }
-    Entry e = entries.computeIfAbsent(new Key(f.owner(), f.kind()), Entry::new);
-    if (e.fact == null || f.version() > e.fact.version()
-        || f.version() == e.fact.version() && !java.util.Arrays.equals(f.value(), e.fact.value())) {
-      byte[] value = e.fact == null ? new byte[0] : e.fact.value();
-      double lasts = e.fact == null ? f.lasts() : e.fact.lasts();
-      set(e, new Fact(f.owner(), f.start(), f.kind(), f.version() + 1, 0, lasts, value), now, true);
+  private void ownComesBack(Fact f, Held said, double now) {
+    if (said == null || f.version() > said.fact.version()
+        || f.version() == said.fact.version() && !Arrays.equals(f.value(), said.fact.value())) {
+      byte[] value = said == null ? new byte[0] : said.fact.value();
+      double lasts = said == null ? f.lasts() : said.fact.lasts();
+      ownKinds.add(f.kind());
+      take(new Fact(f.owner(), f.start(), f.kind(), f.version() + 1, 0, lasts, value), now, true);
     }
   }
 
   /** Whether an owner of that start can have said so many: guards against made-up versions that none could follow. */
-  private static boolean possible(Fact f, long unixNow) {
-    double lived = unixNow + Credence.CLOCKS_APART - f.start();
-    return f.version() < Math.min(Fact.MAX_VERSION, FIRST + lived / 1_000 * MOST_A_SECOND);
+  private static boolean possible(long version, long start, long unixNow) {
+    double lived = unixNow + Credence.CLOCKS_APART - start;
+    return version < Math.min(Fact.MAX_VERSION, FIRST + lived / 1_000 * MOST_A_SECOND);
   }
 
   /** Whether there are facts that are worth a datagram of their own. */
   boolean urgent() {
-    return urgent > 0;
+    return !urgent.isEmpty();
   }
 
-  /** Facts to pass on, least told first, as far as the room goes. */
+  /** Facts to pass on, least told first, as far as the room (bytes) goes. */
   List<Fact> pick(int room, int transmits, double now) {
-    if (queue.isEmpty()) {
-      return List.of();
-    }
-    List<Entry> order = new ArrayList<>(queue.values());
-    order.sort(Comparator.<Entry>comparingInt(e -> e.sent).thenComparing(e -> !e.urgent)
-        .thenComparing(e -> e.key.owner).thenComparingInt(e -> e.key.kind));
     List<Fact> out = new ArrayList<>();
-    int left = room;
-    for (Entry e : order) {
-      Fact f = e.fact;
-      if (e.age(now) >= f.lasts()) {
-        unqueue(e);
-      } else if (f.size() <= left) {
-        left -= f.size();
-        out.add(aged(e, now));
-        if (++e.sent >= transmits) {
-          unqueue(e);
-        }
+    List<Key> over = new ArrayList<>();
+    int[] left = {room};
+    List<Key> told = turns.offer(transmits, () -> left[0] >= Fact.LEAST_SIZE, key -> {
+      Held h = held.get(key);
+      if (h.over(now)) {
+        over.add(key);
+        return false;
       }
-    }
+      if (h.fact.size() > left[0]) {
+        return false;
+      }
+      left[0] -= h.fact.size();
+      return out.add(h.at(now));
+    });
+    urgent.removeAll(told);
+    over.forEach(this::drop);
     return out;
   }
 
-  private static Fact aged(Entry e, double now) {
-    Fact f = e.fact;
-    return new Fact(f.owner(), f.start(), f.kind(), f.version(), Math.min(Fact.MAX_MS, e.age(now)), f.lasts(), f.value());
-  }
-
   /** The facts of a kind that hold now, by owner; those whose owner is not present in that life are left out. */
   Map<String, Fact> holding(int kind, Update self, Map<String, Belief> beliefs, double now) {
     Map<String, Fact> out = new TreeMap<>();
-    for (Entry e : entries.values()) {
-      Fact f = e.fact;
-      if (f.kind() == kind && !f.withdrawn() && e.age(now) < f.lasts()) {
+    for (Held h : held.values()) {
+      Fact f = h.fact;
+      if (f.kind() == kind && !f.withdrawn() && !h.over(now)) {
         Belief b = beliefs.get(f.owner());
         boolean own = f.owner().equals(self.card().name());
         if (own || b != null && b.status().present() && b.word.life().start() == f.start()) {
-          out.put(f.owner(), aged(e, now));
+          out.put(f.owner(), h.at(now));
         }
       }
     }
     return out;
   }
 
-  /** The owner is forgotten. */
+  /** The owner, another member, is forgotten. */
   void forget(String owner) {
     for (int kind = 0; kind <= Fact.MAX_KIND; kind++) {
-      Entry e = entries.remove(new Key(owner, kind));
-      if (e != null) {
-        unqueue(e);
+      Key key = new Key(owner, kind);
+      if (held.remove(key) != null) {
+        drop(key);
       }
     }
   }
@@ -196,8 +191,9 @@
   /** All that is held, in words; times count from {@code now}. */
   String state(double now) {
     StringBuilder s = new StringBuilder();
-    entries.values().stream().sorted(Comparator.comparing((Entry e) -> e.key.owner).thenComparing(e -> e.key.kind)).forEach(
-        e -> s.append("; fact ").append(aged(e, now)).append(e.sent).append(e.queued).append(e.urgent));
-    return s.toString();
+    held.entrySet().stream()
+        .sorted(Map.Entry.comparingByKey(Comparator.comparing(Key::owner).thenComparingInt(Key::kind)))
+        .forEach(e -> s.append("; fact ").append(e.getValue().at(now)).append(urgent.contains(e.getKey())));
+    return s.append(turns.state()).toString();
   }
 }
--- a/src/main/java/rillyard/member/Membership.java
+++ b/src/main/java/rillyard/member/Membership.java
@@ -49,7 +49,7 @@
   private final LocalHealth health = new LocalHealth();
   private final Errands errands;
   private final long started;
-  private Update self;
+  private final Identity identity;
   private Probe probe;
   private int sequence;
   private double lastTick = Double.NaN;
@@ -57,8 +57,6 @@
   private double reachedOutAt = Double.NEGATIVE_INFINITY;
   private double toldAt = Double.NEGATIVE_INFINITY;
   private double pagedAt = Double.NEGATIVE_INFINITY;
-  private double askedNamesakeAt = Double.NEGATIVE_INFINITY;
-  private boolean over;
 
   /**
    * Makes a member that knows nobody yet.
@@ -77,22 +75,19 @@
     this.outbox = new Outbox(settings, roster, gossip, facts, out);
     this.errands = new Errands(settings);
     this.started = start;
-    this.self = new Update(card, new Life(start, 0), Status.ALIVE, Update.by(card.name()));
+    this.identity = new Identity(card, start, settings.interval());
   }
 
   /** What this member says of itself. */
   public Update self() {
-    return self;
+    return identity.word();
   }
 
   /** Whether it has left, or another has its name: it says nothing any more. */
   public boolean over() {
-    return over;
+    return identity.silent();
   }
 
-  /** What is believed of one: since when (ms since this process started), and by whose word, as {@link Change#by}. */
-  public record Seen(Update word, double since, String by) {}
-
   /** What is believed of all others, in the order of their names. */
   public List<Seen> seen() {
     return roster.beliefs().values().stream().map(b -> new Seen(b.word, b.since, b.by))
@@ -101,7 +96,7 @@
 
   /** A number for all that it holds present, itself among them. */
   int digest() {
-    return outbox.digest(self);
+    return outbox.digest(self());
   }
 
   /** By how much this member distrusts its own hearing, 1 where not at all. */
@@ -120,24 +115,26 @@
    * @param kind 0 to {@link Fact#MAX_KIND}; a fact of each
    * @param value of 1 to {@link Fact#MAX_VALUE} bytes, or none to take it back
    * @param lasts ms after which it ends where no more is heard of it, 1,000 to {@link Fact#MAX_MS}
+   * @return whether it is said; not where this member says more than ten a second for long, which nobody would believe
+   * @throws IllegalArgumentException if one of these is out of its range
    */
-  public void say(double now, int kind, byte[] value, double lasts) {
+  public boolean say(double now, int kind, byte[] value, double lasts) {
     if (!(lasts >= 1_000)) {
       throw new IllegalArgumentException("lasts " + lasts + " ms, expected 1,000 and more");
     }
-    facts.say(self, kind, value, lasts, now);
+    return facts.say(self(), kind, value, lasts, unix(now), now);
   }
 
   /** The facts of a kind that hold now, by owner: what members that are present have said, this one among them. */
   public Map<String, Fact> facts(double now, int kind) {
-    return facts.holding(kind, self, roster.beliefs(), now);
+    return facts.holding(kind, self(), roster.beliefs(), now);
   }
 
   /** All that its next steps depend on but chance, in words; times in it count from {@code now}. */
   String state(double now) {
-    StringBuilder s = new StringBuilder().append(self).append(over).append(health.factor());
+    StringBuilder s = new StringBuilder().append(identity.state(now)).append(health.factor());
     s.append(' ').append(now - lastTick).append(' ').append(now - reachedOutAt).append(' ').append(now - pagedAt)
-        .append(' ').append(now - toldAt).append(' ').append(now - askedNamesakeAt);
+        .append(' ').append(now - toldAt);
     s.append(probe == null ? " -" : probe.state(now, sequence));
     return s.append(errands.state(now)).append(gossip.state()).append(facts.state(now)).append(roster.state(now)).toString();
   }
@@ -147,11 +144,9 @@
     return roster.present() + 1;
   }
 
-  // --- time
-
   /** Time passes; to be called many times an interval. */
   public void tick(double now) {
-    if (over) {
+    if (over()) {
       return;
     }
     latest = now;
@@ -168,7 +163,7 @@
       begin(now);
     }
     roster.suspects().forEach(b -> suspected(b, now));
-    facts.tick(self, now);
+    facts.tick(self(), now);
     if ((!gossip.isEmpty() || facts.urgent()) && now - toldAt >= settings.interval() / TELLS) {
       toldAt = now;
       roster.some(TELL, "", true).forEach(b -> send(Kind.NEWS, 0, b.word.card().at(), "", null));
@@ -176,7 +171,10 @@
     if (now - reachedOutAt >= 2 * settings.interval()) {
       reachedOutAt = now;
       reachOut();
-      roster.forget(now - settings.forget()).forEach(this::forget);
+      roster.forget(now - settings.forget()).forEach(name -> {
+        gossip.forget(name);
+        facts.forget(name);
+      });
     }
   }
 
@@ -200,12 +198,12 @@
     if (now >= b.askAt) {
       b.askAt = now + settings.interval();
       boolean late = now - b.since >= settings.leastSuspicion(present()) / 2;
-      if (late || b.accusers().contains(self.by()) || random.nextDouble() * present() < ASK_SUSPECT) {
+      if (late || b.accusers().contains(self().by()) || random.nextDouble() * present() < ASK_SUSPECT) {
         send(Kind.PING, ++sequence, b.word.card().at(), b.word.card().name(), null);
       }
     }
     if (now - b.since >= Suspicion.time(settings, present(), b.accusers().size())) {
-      believe(b, new Update(b.word.card(), b.word.life(), Status.DEAD, self.by()), now, "its time");
+      believe(b, new Update(b.word.card(), b.word.life(), Status.DEAD, self().by()), now, "its time");
     }
   }
 
@@ -215,7 +213,7 @@
       return;
     }
     probe = new Probe(++sequence, b.word.card(), now, health.factor(), settings);
-    send(Kind.PING, probe.sequence, b.word.card().at(), b.word.card().name(), null);
+    send(Kind.PING, probe.sequence, probe.target.at(), probe.target.name(), null);
   }
 
   private void goOn(double now) {
@@ -241,7 +239,7 @@
     health.worse(p.helpers == 0 ? 1 : Math.max(0, p.helpers - p.nacks));
     Belief b = roster.get(p.target.name());
     if (b != null && b.status().present()) {
-      heard(new Update(b.word.card(), b.word.life(), Status.SUSPECT, self.by()), now, "a probe");
+      heard(new Update(b.word.card(), b.word.life(), Status.SUSPECT, self().by()), now, "a probe");
     }
   }
 
@@ -253,7 +251,7 @@
     }
     if (!seeds.isEmpty()) {
       Endpoint seed = seeds.get(random.nextInt(seeds.size()));
-      boolean known = seed.equals(self.card().at())
+      boolean known = seed.equals(self().card().at())
           || roster.beliefs().values().stream().anyMatch(b -> b.status().present() && b.word.card().at().equals(seed));
       if (!known) {
         send(Kind.PING, ++sequence, seed, "", null);
@@ -261,33 +259,26 @@
     }
   }
 
-  private void forget(String name) {
-    gossip.forget(name);
-    facts.forget(name);
-  }
-
   /** Says that it goes, and says nothing after. */
   public void leave(double now) {
-    if (over) {
+    if (over()) {
       return;
     }
-    self = new Update(self.card(), self.life(), Status.LEFT, self.by());
+    identity.leave();
     for (Belief b : roster.some(FAREWELLS, "", false)) {
       send(Kind.NEWS, 0, b.word.card().at(), "", null);
     }
-    over = true;
+    identity.fallSilent();
   }
 
-  // --- messages
-
   /** A message has come from an address. */
   public void received(double now, Endpoint from, Message m) {
     latest = now;
     Update sender = m.sender();
-    if (over || !sender.card().at().equals(from)) {
-      return; // who speaks for another place is not believed
+    if (over() || !sender.card().at().equals(from)) { // who speaks for another place is not believed
+      return;
     }
-    if (sender.card().name().equals(self.card().name())) {
+    if (identity.isName(sender.card().name())) {
       namesake(now, sender);
       return;
     }
@@ -297,29 +288,28 @@
       heard(u, now, "#" + u.by());
     }
     for (Fact f : m.facts()) {
-      Belief owner = roster.get(f.owner());
-      Life life = owner == null || !owner.status().present() ? null : owner.word.life();
-      facts.heard(f, self, life, started + (long) now, now);
+      Belief b = roster.get(f.owner());
+      facts.heard(f, self(), b == null || !b.status().present() ? null : b.word.life(), unix(now), now);
     }
     answer(now, from, m);
     boolean joins = fresh && sender.status() == Status.ALIVE && roster.get(sender.card().name()) != null;
     if (joins) {
-      outbox.pages(self, from, WELCOME);
+      outbox.pages(self(), from, WELCOME);
     } else if (m.kind() != Kind.NEWS && m.digest() != digest() && now - pagedAt >= settings.interval()) {
       pagedAt = now;
-      outbox.pages(self, from, PAGES);
+      outbox.pages(self(), from, PAGES);
     }
   }
 
   private void answer(double now, Endpoint from, Message m) {
     switch (m.kind()) {
       case PING -> {
-        if (m.target().isEmpty() || m.target().equals(self.card().name())) {
+        if (m.target().isEmpty() || m.target().equals(self().card().name())) {
           send(Kind.ACK, m.sequence(), from, m.sender().card().name(), null);
         }
       }
       case ASK_FOR_ME -> {
-        if (errands.room() && !m.target().equals(self.card().name())) {
+        if (errands.room() && !m.target().equals(self().card().name())) {
           errands.take(++sequence, m, from, now);
           send(Kind.PING, sequence, m.targetAt(), m.target(), null);
         }
@@ -341,35 +331,35 @@
     }
   }
 
-  /** A process of this member's own name speaks: the one that started later has the name, and says so. */
+  /** A process of this member's own name speaks. */
   private void namesake(double now, Update other) {
-    if (other.life().start() < self.life().start()) {
+    if (identity.outlives(other, unix(now))) {
       send(Kind.NEWS, 0, other.card().at(), "", null);
-    } else if (other.life().start() > self.life().start() && possible(other.life(), null)) {
-      over = true;
+    } else if (over()) {
       out.changed(new Change(now, other, Status.ALIVE, other.card().name()));
     }
   }
 
-  /** Others say that a later process has this member's name: only its own word counts, so it is asked. */
-  private void askNamesake(double now, Endpoint at) {
-    if (now - askedNamesakeAt >= settings.interval()) {
-      askedNamesakeAt = now;
-      send(Kind.PING, ++sequence, at, self.card().name(), null);
+  private void aboutSelf(Update u, double now) {
+    switch (identity.heard(u, now, unix(now))) {
+      case SPOKEN_UP -> health.worse(1);
+      case ASK -> send(Kind.PING, ++sequence, u.card().at(), self().card().name(), null);
+      case NOTHING -> {}
     }
   }
 
-  private boolean possible(Life life, Life known) {
-    return Credence.possible(life, known, started + (long) latest);
+  /** This machine's Unix time (ms). */
+  private long unix(double now) {
+    return started + (long) now;
   }
 
   private void heard(Update u, double now, String by) {
-    if (u.card().name().equals(self.card().name())) {
+    if (identity.isName(u.card().name())) {
       aboutSelf(u, now);
       return;
     }
     Belief b = roster.get(u.card().name());
-    if (!possible(u.life(), b == null ? null : b.word.life())) {
+    if (!Credence.possible(u.life(), b == null ? null : b.word.life(), unix(now))) {
       return;
     }
     if (b == null) {
@@ -404,26 +394,7 @@
     }
   }
 
-  /** Others hold this member for ill or dead, or remember a life of its name before this one: it speaks up. */
-  private void aboutSelf(Update u, double now) {
-    boolean later = u.life().compareTo(self.life()) > 0;
-    if (!possible(u.life(), self.life())) {
-      return; // nobody but itself can have said so
-    }
-    // A life before this one may have had a later start: this machine's clock was set back in between. One at
-    // another address may be a process that took the name over.
-    if (u.life().start() > self.life().start() && !u.card().at().equals(self.card().at()) && u.status().present()) {
-      askNamesake(now, u.card().at());
-      return;
-    }
-    if (later || u.status() != Status.ALIVE && u.life().equals(self.life())) {
-      Life newest = later ? u.life() : self.life();
-      self = new Update(self.card(), newest.next(), Status.ALIVE, self.by());
-      health.worse(1);
-    }
-  }
-
   private void send(Kind kind, int seq, Endpoint to, String target, Endpoint targetAt) {
-    outbox.send(self, latest, kind, seq, to, target, targetAt);
+    outbox.send(self(), latest, kind, seq, to, target, targetAt);
   }
 }
--- /dev/null
+++ b/src/main/java/rillyard/member/Turns.java
@@ -0,0 +1,96 @@
+package rillyard.member;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+
+/**
+ * What is to be passed on, and how often it has been: the least told first, each only so often. Kept in that order, as
+ * thousands join at once and each datagram takes ten.
+ */
+final class Turns<K> {
+  private static final class Turn<K> {
+    final K key;
+    int told;
+
+    Turn(K key) {
+      this.key = key;
+    }
+  }
+
+  private final Map<K, Turn<K>> turns = new HashMap<>();
+  private final TreeSet<Turn<K>> order;
+  private final Comparator<K> ties;
+
+  /** Of two that were told alike the first by {@code ties} comes first. */
+  Turns(Comparator<K> ties) {
+    this.ties = ties;
+    this.order = new TreeSet<>(Comparator.<Turn<K>>comparingInt(t -> t.told).thenComparing(t -> t.key, ties));
+  }
+
+  /** There is something new about this: its turns begin anew. */
+  void add(K key) {
+    remove(key);
+    Turn<K> t = new Turn<>(key);
+    turns.put(key, t);
+    order.add(t);
+  }
+
+  void remove(K key) {
+    Turn<K> t = turns.remove(key);
+    if (t != null) {
+      order.remove(t);
+    }
+  }
+
+  boolean isEmpty() {
+    return turns.isEmpty();
+  }
+
+  /**
+   * Offers all in turn.
+   *
+   * @param times those taken so often leave
+   * @param more whether any further one could be taken at all
+   * @param taken takes one, or doesn't; to change nothing here
+   * @return those that have left
+   */
+  List<K> offer(int times, BooleanSupplier more, Predicate<K> taken) {
+    List<Turn<K>> told = new ArrayList<>(10);
+    for (Turn<K> t : order) {
+      if (!more.getAsBoolean()) {
+        break;
+      }
+      if (taken.test(t.key)) {
+        told.add(t);
+      }
+    }
+    List<K> left = new ArrayList<>();
+    for (Turn<K> t : told) {
+      order.remove(t);
+      t.told++;
+      if (t.told < times) {
+        order.add(t);
+      } else {
+        turns.remove(t.key);
+        left.add(t.key);
+      }
+    }
+    return left;
+  }
+
+  /** What is waiting, and how often it was told. */
+  String state() {
+    StringBuilder s = new StringBuilder();
+    Map<K, Turn<K>> sorted = new TreeMap<>(ties);
+    sorted.putAll(turns);
+    sorted.values().forEach(t -> s.append("; tell ").append(t.key).append(t.told));
+    return s.toString();
+  }
+}
--- a/src/main/java/rillyard/member/net/View.java
+++ b/src/main/java/rillyard/member/net/View.java
@@ -4,10 +4,12 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import rillyard.member.Fact;
 import rillyard.member.LoopHealth;
 import rillyard.member.Membership;
+import rillyard.member.Seen;
 import rillyard.member.Update;
 
 /** All that a member holds, as a JSON object on one line. */
@@ -25,14 +27,15 @@
   static String of(Membership m, long startedUnix, double now, Costs costs) {
     Map<String, Fact> health = m.facts(now, LoopHealth.FACT);
     Map<String, String> names = new HashMap<>();
-    m.seen().forEach(s -> names.put("#" + Update.by(s.word().card().name()), s.word().card().name()));
+    List<Seen> seen = m.seen();
+    seen.forEach(s -> names.put("#" + Update.by(s.word().card().name()), s.word().card().name()));
     names.put("#" + m.self().by(), m.self().card().name());
     ObjectNode n = JSON.createObjectNode();
     n.put("at", startedUnix + (long) now).put("over", m.over()).put("present", m.present());
     n.put("distrust", m.distrust());
     n.set("self", word(m.self(), health));
     ArrayNode members = n.putArray("members");
-    for (Membership.Seen s : m.seen()) {
+    for (Seen s : seen) {
       ObjectNode o = word(s.word(), health);
       o.put("since", startedUnix + (long) s.since()).put("by", names.getOrDefault(s.by(), s.by()));
       members.add(o);
--- a/src/test/java/rillyard/member/FactsTest.java
+++ b/src/test/java/rillyard/member/FactsTest.java
@@ -116,6 +116,21 @@
     }
   }
 
+  /** Others would turn it away: so it is told at once that it is not said, and the last one stays. */
+  @Test
+  void whoSaysMoreThanAnybodyWouldBelieveIsToldSo() {
+    VirtualFleet f = joined(6, 3);
+    Membership m = f.node(0).member;
+    int said = 0;
+    while (m.say(f.now, KIND, new byte[] {(byte) (said % 100)}, 60 * S)) {
+      said++;
+    }
+    assertThat(said).isBetween(37_000, 38_000); // the first 1,024, and ten a second for the hour that clocks may differ by
+    int last = (said - 1) % 100;
+    assertThat(f.until(10 * S, () -> allHold(f, 0, last))).isNotNegative();
+    assertThat(m.say(f.now, KIND, new byte[] {1}, 60 * S)).as("ten seconds later").isTrue();
+  }
+
   @Test
   void bytesAreWhatWasWrittenOrTurnedAway() {
     Fact fact = new Fact("m4", 1_700_000_000_000L, 15, Fact.MAX_VERSION, 1_200, Fact.MAX_MS, new byte[] {1, 2, 3});
