Proxies of a fleet tell each other which hosts fail, and lay pools by their rates (off)

Need: each proxy finds a host that fails by its own errors, so errors grow with the number of proxies; pools of one size load a few hosts with a busy proxy (0.49 of the mean against 0.12 by chance, 150 processes). Change: rillyard.spread decides from one vote a proxy and host (left by two thirds of three and more, trials at a pace of all together, back over a ramp), rillyard.spread.net carries votes and rates as facts, the module heeds them (Health.heed, Draw.place). Off without [spread] news = true; not loaded by run.

--- a/src/main/java/rillyard/balancer/Attempts.java
+++ b/src/main/java/rillyard/balancer/Attempts.java
@@ -17,8 +17,6 @@
     boolean open = true;
     boolean mayHaveRun = true;
     boolean cancelled;
-    Attempt before;
-    Attempt after;
 
     Attempt(Call call, int number, Fleet.Host host, double sentAt) {
       this.call = call;
@@ -153,13 +151,7 @@
     c.open++;
     h.inFlight++;
     h.sentSinceReport++;
-    a.before = h.newest;
-    if (h.newest == null) {
-      h.oldest = a;
-    } else {
-      h.newest.after = a;
-    }
-    h.newest = a;
+    h.out.add(a);
     return a;
   }
 
@@ -167,18 +159,8 @@
     a.open = false;
     a.mayHaveRun = !result.neverRan();
     a.call.open--;
-    Fleet.Host h = a.host;
-    h.inFlight--;
-    if (a.before == null) {
-      h.oldest = a.after;
-    } else {
-      a.before.after = a.after;
-    }
-    if (a.after == null) {
-      h.newest = a.before;
-    } else {
-      a.after.before = a.before;
-    }
+    a.host.inFlight--;
+    a.host.out.remove(a);
   }
 
   void earnRetry() {
--- a/src/main/java/rillyard/balancer/Balancer.java
+++ b/src/main/java/rillyard/balancer/Balancer.java
@@ -63,6 +63,16 @@
     return fleet.avoided();
   }
 
+  /** Proxies that speak to each other have left a host, or take it back; it may be tried in {@code wait} ms. */
+  public void onFleetWord(double now, long host, boolean left, double wait) {
+    health.heed(fleet.get(host), left, now + wait);
+  }
+
+  /** From here on this proxy draws from a pool laid there, instead of where the settings have it. */
+  public void onPlace(Place place) {
+    draw.place(place);
+  }
+
   /** A request that came with an infinite budget is whole: {@code budget} ms are left of its time. */
   public void onWhole(double now, long request, double budget) {
     Attempts.Call c = calls.get(request);
@@ -109,7 +119,6 @@
     fleet.reported(a.host, now, load, result != Result.FULL);
     learn(a, result, now, spent, c);
     if (over && !c.ended) {
-      c.ended = true;
       cancelAll(c);
     } else if (!c.ended) {
       again(c, now);
@@ -164,7 +173,6 @@
   public void onClientGone(double now, long request) {
     Attempts.Call c = calls.get(request);
     if (c != null && !c.ended) {
-      c.ended = true;
       cancelAll(c);
       forgetIfDone(c);
     }
@@ -238,6 +246,7 @@
   }
 
   private void cancelAll(Attempts.Call c) {
+    c.ended = true;
     for (Attempts.Attempt a : c.attempts) {
       if (a.open && !a.cancelled && settings.limits().cancel()) {
         a.cancelled = true;
--- a/src/main/java/rillyard/balancer/Draw.java
+++ b/src/main/java/rillyard/balancer/Draw.java
@@ -19,6 +19,8 @@
   private int choices = Tuning.MIN_CHOICES;
   private final List<Fleet.Host> drawn = new ArrayList<>();
   private int size;
+  private Place place;
+  private List<Fleet.Host> laidOver;
   private Fleet.Host best;
   private double bestCount;
   private double bestWait;
@@ -32,6 +34,13 @@
     this.attempts = attempts;
     this.admission = admission;
     this.random = random;
+    place(new Place(Math.floorMod(settings.position(), settings.balancers()), settings.balancers(), 1));
+  }
+
+  /** The pool is laid there for the next request. */
+  void place(Place p) {
+    place = p;
+    laidOver = null;
   }
 
   /** The host for the next attempt of the call, or null where none may or should get it. */
@@ -50,8 +59,8 @@
     // Guards against many proxies that use up the hosts' connections (if1c0a3); those in use add up to the same.
     double peak = admission.peak(now);
     double most = Math.max(Tuning.MIN_CHOICES, Tuning.HOST_PROXIES * fleet.ready().size() / settings.balancers());
-    int wanted = (int) Math.min(Tuning.BASE_POOL + Tuning.POOL_PER_IN_FLIGHT * peak, Math.max(most, peak));
-    if (fleet.takeChanged() || wanted > size || wanted < size / 2) {
+    int wanted = (int) (place.weight() * Math.min(Tuning.BASE_POOL + Tuning.POOL_PER_IN_FLIGHT * peak, Math.max(most, peak)));
+    if (laidOver != fleet.ready() || wanted > size || wanted < size / 2) {
       rebuild(wanted, now);
     }
     drawn.clear();
@@ -149,9 +158,9 @@
 
   private void rebuild(int wanted, double now) {
     size = wanted;
-    List<Fleet.Host> all = fleet.ready();
-    local = window(all.stream().filter(this::isNear).toArray(Fleet.Host[]::new), wanted);
-    remote = window(all.stream().filter(h -> !isNear(h)).toArray(Fleet.Host[]::new), wanted);
+    laidOver = fleet.ready();
+    local = window(laidOver.stream().filter(this::isNear).toArray(Fleet.Host[]::new), wanted);
+    remote = window(laidOver.stream().filter(h -> !isNear(h)).toArray(Fleet.Host[]::new), wanted);
     choices = choicesFor(local.length > 0 ? local : remote, now);
   }
 
@@ -164,7 +173,7 @@
     if (ring.length <= wanted) {
       return ring;
     }
-    int start = (int) ((double) settings.position() * ring.length / settings.balancers());
+    int start = (int) ((double) place.position() * ring.length / place.of());
     return IntStream.range(start, start + wanted)
         .mapToObj(i -> ring[i % ring.length]).toArray(Fleet.Host[]::new);
   }
--- a/src/main/java/rillyard/balancer/Fleet.java
+++ b/src/main/java/rillyard/balancer/Fleet.java
@@ -1,9 +1,11 @@
 package rillyard.balancer;
 
-import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** The host view: membership, drain state, own requests in flight, latency and load figures. */
 final class Fleet {
@@ -20,8 +22,7 @@
     int listMark;
 
     int inFlight;
-    Attempts.Attempt oldest;
-    Attempts.Attempt newest;
+    final Set<Attempts.Attempt> out = new LinkedHashSet<>(4);
     double lastAnswer = Double.NEGATIVE_INFINITY;
     double newestAnswered = Double.NEGATIVE_INFINITY;
 
@@ -67,13 +68,12 @@
 
   private final Settings settings;
   private final Map<Long, Host> byId = new HashMap<>();
-  private final List<Host> ready = new ArrayList<>();
+  private List<Host> ready = List.of();
   private final Map<String, KindSpeed> kinds = new HashMap<>();
   private final double reportFade;
   private int mark;
   private double meanHeld;
   private double anyReportAt = Double.NEGATIVE_INFINITY;
-  private boolean changed = true;
 
   Fleet(Settings settings) {
     this.settings = settings;
@@ -88,18 +88,11 @@
     return (int) byId.values().stream().filter(h -> h.listed && (!h.sendable || h.halfOpen)).count();
   }
 
-  /** Hosts that may get requests, in ring order. */
+  /** Hosts that may get requests, in ring order; another list whenever they change. */
   List<Host> ready() {
     return ready;
   }
 
-  /** Whether the set of ready hosts has changed since this was last asked. */
-  boolean takeChanged() {
-    boolean was = changed;
-    changed = false;
-    return was;
-  }
-
   void apply(double now, News kind, List<HostEntry> entries, java.util.SplittableRandom random) {
     if (kind == News.FAILED) {
       return;
@@ -121,13 +114,11 @@
       different |= sendable != h.sendable;
       h.sendable = sendable;
     }
-    if (kind != News.DELTA) {
-      byId.values().forEach(h -> h.listed &= h.listMark == mark);
-      for (Host h : ready) {
-        if (h.listMark != mark) {
-          h.sendable = false;
-          different = true;
-        }
+    for (Host h : byId.values()) {
+      if (kind != News.DELTA && h.listMark != mark) {
+        different |= h.sendable;
+        h.listed = false;
+        h.sendable = false;
       }
     }
     if (different) {
@@ -151,10 +142,8 @@
   }
 
   private void rebuild() {
-    ready.clear();
-    byId.values().stream().filter(h -> h.sendable).forEach(ready::add);
-    ready.sort((a, b) -> a.ring != b.ring ? Long.compare(a.ring, b.ring) : Long.compare(a.id, b.id));
-    changed = true;
+    ready = byId.values().stream().filter(h -> h.sendable)
+        .sorted(Comparator.<Host>comparingLong(h -> h.ring).thenComparingLong(h -> h.id)).toList();
   }
 
   /** The least part of its capacity that a host has now: 1 when warm. */
@@ -216,7 +205,10 @@
    */
   int lost(Host h, Attempts.ClassState of, double now) {
     int n = 0;
-    for (Attempts.Attempt a = h.oldest; a != null && a.sentAt < h.newestAnswered; a = a.after) {
+    for (Attempts.Attempt a : h.out) {
+      if (a.sentAt >= h.newestAnswered) {
+        break; // in the order of their sends
+      }
       Attempts.ClassState type = a.call.type;
       n += type != of && now - a.sentAt > type.rules.aim() ? 1 : 0;
     }
--- a/src/main/java/rillyard/balancer/Health.java
+++ b/src/main/java/rillyard/balancer/Health.java
@@ -18,13 +18,7 @@
 
   /** Whether the host may be a candidate; half-open hosts get one request at a time. */
   boolean available(Fleet.Host h, double now, double overdue) {
-    if (now < h.ejectedUntil) {
-      return false;
-    }
-    if (h.halfOpen) {
-      return h.inFlight == 0;
-    }
-    return !silent(h, now, overdue);
+    return now >= h.ejectedUntil && (h.halfOpen ? h.inFlight == 0 : !silent(h, now, overdue));
   }
 
   /**
@@ -32,12 +26,13 @@
    * time since the last answer, with whole requests out, is held against the expected answer time.
    */
   boolean silent(Fleet.Host h, double now, double overdue) {
-    Attempts.Attempt first = h.oldest;
-    while (first != null && (overtaken(first) || first.sentAt > now)) {
-      first = first.after;
+    for (Attempts.Attempt a : h.out) {
+      if (!overtaken(a) && a.sentAt <= now) {
+        double since = Math.max(a.sentAt, h.lastAnswer);
+        return now - since > Math.max(Tuning.SILENCE_FLOOR, overdue * Math.max(1, h.slowness));
+      }
     }
-    double since = first == null ? now : Math.max(first.sentAt, h.lastAnswer);
-    return now - since > Math.max(Tuning.SILENCE_FLOOR, overdue * Math.max(1, h.slowness));
+    return false;
   }
 
   /**
@@ -110,10 +105,24 @@
     readmit(h);
   }
 
-  private void eject(Fleet.Host h, double now) {
-    // Guards against a fault that many hosts show at once: to leave them all out would bury the rest.
+  /** What peers found of a host only takes from it: left out until then at least, or till then at most. */
+  void heed(Fleet.Host h, boolean left, double until) {
+    if (h != null && left && mayLeave(h)) {
+      h.ejectedUntil = Math.max(h.ejectedUntil, until);
+      h.halfOpen = true;
+    } else if (h != null && !left) {
+      h.ejectedUntil = Math.min(h.ejectedUntil, until);
+    }
+  }
+
+  /** Guards against a fault that many hosts show at once: to leave them all out would bury the rest. */
+  private boolean mayLeave(Fleet.Host h) {
     long out = fleet.ready().stream().filter(o -> o.halfOpen && o != h).count();
-    if (out >= Tuning.EJECT_PART * fleet.ready().size()) {
+    return out < Tuning.EJECT_PART * fleet.ready().size();
+  }
+
+  private void eject(Fleet.Host h, double now) {
+    if (!mayLeave(h)) {
       return;
     }
     if (now - h.lastEjection > Tuning.EJECT_FORGET * aim) {
--- /dev/null
+++ b/src/main/java/rillyard/balancer/Place.java
@@ -0,0 +1,21 @@
+package rillyard.balancer;
+
+/**
+ * Where a proxy's pool lies on the ring of hosts, and how large it is.
+ *
+ * @param position of this proxy among {@code of}, from 0
+ * @param of proxies that lay their pools over the ring, 1 and more
+ * @param weight times the usual size, 1 and more: a proxy with more of the traffic spreads it over more hosts
+ */
+public record Place(int position, int of, double weight) {
+  /**
+   * Checks the ranges.
+   *
+   * @throws IllegalArgumentException if one is out of its range
+   */
+  public Place {
+    if (of < 1 || position < 0 || position >= of || !(weight >= 1)) {
+      throw new IllegalArgumentException("no place: " + position + " of " + of + ", weight " + weight);
+    }
+  }
+}
--- a/src/main/java/rillyard/cli/ProxyCommands.java
+++ b/src/main/java/rillyard/cli/ProxyCommands.java
@@ -9,8 +9,12 @@
 import rillyard.adapter.MalformedInputException;
 import rillyard.member.net.FleetFile;
 import rillyard.member.net.FleetMember;
+import rillyard.member.net.FleetSettings;
+import rillyard.proxy.Neighbours;
 import rillyard.proxy.Proxy;
 import rillyard.proxy.Rehearsal;
+import rillyard.spread.SpreadSettings;
+import rillyard.spread.net.FleetNews;
 
 /** What the platform starts, for their help; given alone they are run before the parser is loaded. */
 final class ProxyCommands {
@@ -37,11 +41,13 @@
         Proxy.run(System.getenv());
         return Cli.DONE;
       }
-      FleetMember member =
-          new FleetMember(FleetFile.read(fleet, System.getenv()), new SecureRandom().nextLong(), System.err);
+      SecureRandom random = new SecureRandom();
+      FleetSettings settings = FleetFile.read(fleet, System.getenv());
+      FleetMember member = new FleetMember(settings, random.nextLong(), System.err);
+      Neighbours news = settings.spread() ? new FleetNews(member, SpreadSettings.USUAL, random.nextLong()) : null;
       member.start();
       Runtime.getRuntime().addShutdownHook(new Thread(member::close, "leave"));
-      Proxy.run(System.getenv());
+      Proxy.run(System.getenv(), news);
       return Cli.DONE;
     }
   }
--- a/src/main/java/rillyard/member/Facts.java
+++ b/src/main/java/rillyard/member/Facts.java
@@ -53,16 +53,21 @@
   /**
    * Says a fact of this member's own, an empty value to take it back.
    *
+   * @param again whether it is said again in time
    * @param unixNow this machine's Unix time (ms)
    * @return whether it is said; not if this member has said so many that nobody would believe one more
    */
-  boolean say(Update self, int kind, byte[] value, double lasts, long unixNow, double now) {
+  boolean say(Update self, int kind, byte[] value, double lasts, boolean again, long unixNow, double now) {
     Held before = held.get(new Key(self.card().name(), kind));
     long version = before == null ? 0 : before.fact.version() + 1;
     if (!possible(version, self.life().start(), unixNow)) {
       return false;
     }
-    ownKinds.add(kind);
+    if (again) {
+      ownKinds.add(kind);
+    } else {
+      ownKinds.remove(kind);
+    }
     take(new Fact(self.card().name(), self.life().start(), kind, version, 0, lasts, value), now, true);
     return true;
   }
@@ -124,8 +129,8 @@
         || f.version() == said.fact.version() && !Arrays.equals(f.value(), said.fact.value())) {
       byte[] value = said == null ? new byte[0] : said.fact.value();
       double lasts = said == null ? f.lasts() : said.fact.lasts();
-      ownKinds.add(f.kind());
-      take(new Fact(f.owner(), f.start(), f.kind(), f.version() + 1, 0, lasts, value), now, true);
+      double age = said == null ? 0 : said.age(now); // it was said then, and may end by itself
+      take(new Fact(f.owner(), f.start(), f.kind(), f.version() + 1, Math.min(Fact.MAX_MS, age), lasts, value), now, true);
     }
   }
 
--- a/src/main/java/rillyard/member/Membership.java
+++ b/src/main/java/rillyard/member/Membership.java
@@ -110,19 +110,20 @@
   }
 
   /**
-   * Says something of this member to all, from time to time again, until it is said otherwise.
+   * Says something of this member to all.
    *
    * @param kind 0 to {@link Fact#MAX_KIND}; a fact of each
    * @param value of 1 to {@link Fact#MAX_VALUE} bytes, or none to take it back
    * @param lasts ms after which it ends where no more is heard of it, 1,000 to {@link Fact#MAX_MS}
-   * @return whether it is said; not where this member says more than ten a second for long, which nobody would believe
+   * @param again whether it is said again from time to time, until it is said otherwise; else it ends by itself
+   * @return whether it is said; not where this member says more than ten a second for long
    * @throws IllegalArgumentException if one of these is out of its range
    */
-  public boolean say(double now, int kind, byte[] value, double lasts) {
+  public boolean say(double now, int kind, byte[] value, double lasts, boolean again) {
     if (!(lasts >= 1_000)) {
       throw new IllegalArgumentException("lasts " + lasts + " ms, expected 1,000 and more");
     }
-    return facts.say(self(), kind, value, lasts, unix(now), now);
+    return facts.say(self(), kind, value, lasts, again, unix(now), now);
   }
 
   /** The facts of a kind that hold now, by owner: what members that are present have said, this one among them. */
--- a/src/main/java/rillyard/member/net/FleetFile.java
+++ b/src/main/java/rillyard/member/net/FleetFile.java
@@ -51,10 +51,11 @@
     }
     List<byte[]> keys = keys(root);
     MemberSettings member = member(root.table("membership"), keys.isEmpty() ? 0 : Seal.BYTES);
+    boolean spread = root.table("spread").flag("news", false);
     double clockRate = root.table("test").number("clock_rate", 1, 0.01, 100);
     root.finish();
     return new FleetSettings(
-        address(listen), card, seeds, member, keys, history == null ? null : Path.of(history), admin, clockRate);
+        address(listen), card, seeds, member, keys, history == null ? null : Path.of(history), admin, spread, clockRate);
   }
 
   /** One or two keys, a line of 64 hexadecimal digits each, in a file that only this process's user may read. */
--- a/src/main/java/rillyard/member/net/FleetMember.java
+++ b/src/main/java/rillyard/member/net/FleetMember.java
@@ -17,11 +17,16 @@
 import java.io.PrintStream;
 import java.net.Inet4Address;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import rillyard.member.Change;
 import rillyard.member.Codec;
 import rillyard.member.Endpoint;
+import rillyard.member.Fact;
 import rillyard.member.LoopHealth;
 import rillyard.member.Membership;
 import rillyard.member.Message;
@@ -34,6 +39,23 @@
   /** What this process says of its loop holds for so long, and is said again in time. */
   private static final double HEALTH_LASTS_MS = 600_000;
 
+  /** What is known is copied so often (ms) for those who follow facts. */
+  private static final double COPY_MS = 200;
+
+  /**
+   * What this member held a moment ago.
+   *
+   * @param self its name
+   * @param present names of all who are present, this one's among them; empty before the first copy
+   * @param followed facts of the kinds that are followed, by owner
+   */
+  public record Known(String self, List<String> present, Map<Integer, Map<String, Fact>> followed) {
+    /** The facts of a kind that is followed. */
+    public Map<String, Fact> facts(int kind) {
+      return followed.getOrDefault(kind, Map.of());
+    }
+  }
+
   private final FleetSettings settings;
   private final PrintStream log;
   private final MultiThreadIoEventLoopGroup group =
@@ -48,6 +70,9 @@
   private final LoopHealth loopHealth = new LoopHealth();
   private LoopHealth.Level said = LoopHealth.Level.WELL;
   private double nextStep = Double.NaN;
+  private int[] followed = {};
+  private double copiedAt = Double.NEGATIVE_INFINITY;
+  private volatile Known known;
 
   /**
    * Makes one; {@link #start} has it join.
@@ -62,6 +87,44 @@
         : new Seal(settings.keys(), settings.card().at(), startedUnix, settings.member().most());
     this.member = new Membership(settings.member(), settings.card(), startedUnix, settings.seeds(),
         new SplittableRandom(seed), new Doing());
+    this.known = new Known(settings.card().name(), List.of(), Map.of());
+  }
+
+  /** Facts of these kinds are to be found in {@link #known}; to be called before {@link #start}. */
+  public void follow(int... kinds) {
+    followed = kinds.clone();
+  }
+
+  /** What it knew a moment ago; may be asked on any thread. */
+  public Known known() {
+    return known;
+  }
+
+  /**
+   * Says something of this member to all, as {@link Membership#say}; may be called on any thread once started.
+   *
+   * @param again whether it is said again in time; else it ends by itself
+   */
+  public void say(int kind, byte[] value, double lasts, boolean again) {
+    channel.eventLoop().execute(() -> {
+      if (!member.say(now(), kind, value, lasts, again)) {
+        log.println("rillyard: fleet: a fact of kind " + kind + " is not said: too many of them");
+      }
+    });
+  }
+
+  private void copy(double now) {
+    if (followed.length == 0 || now - copiedAt < COPY_MS) {
+      return;
+    }
+    copiedAt = now;
+    Map<Integer, Map<String, Fact>> facts = new HashMap<>();
+    for (int kind : followed) {
+      facts.put(kind, member.facts(now, kind));
+    }
+    List<String> present = new ArrayList<>(List.of(settings.card().name()));
+    member.others().stream().filter(u -> u.status().present()).forEach(u -> present.add(u.card().name()));
+    known = new Known(settings.card().name(), List.copyOf(present), Map.copyOf(facts));
   }
 
   /**
@@ -111,9 +174,10 @@
       nextStep = now + step;
       if (loopHealth.level() != said) {
         said = loopHealth.level();
-        member.say(now, LoopHealth.FACT, new byte[] {(byte) said.ordinal()}, HEALTH_LASTS_MS);
+        member.say(now, LoopHealth.FACT, new byte[] {(byte) said.ordinal()}, HEALTH_LASTS_MS, true);
       }
       member.tick(now);
+      copy(now);
     } catch (RuntimeException e) {
       // Guards against a periodic task that ends for ever with its first exception.
       log.println("rillyard: fleet: a step failed: " + e);
--- a/src/main/java/rillyard/member/net/FleetSettings.java
+++ b/src/main/java/rillyard/member/net/FleetSettings.java
@@ -16,8 +16,9 @@
  * @param keys of the group, the first seals and all open; empty where datagrams are not sealed
  * @param history file that gets a line for each change of belief; null for none
  * @param admin where `members --admin` may ask; null for nowhere
+ * @param spread whether proxies tell each other which hosts fail, and how much each sends
  * @param clockRate ms that pass in one on the clock that decisions are fed with; 1 but in trials of bad clocks
  */
 public record FleetSettings(
     InetSocketAddress listen, Card card, List<Endpoint> seeds, MemberSettings member, List<byte[]> keys,
-    Path history, InetSocketAddress admin, double clockRate) {}
+    Path history, InetSocketAddress admin, boolean spread, double clockRate) {}
--- a/src/main/java/rillyard/proxy/Dispatcher.java
+++ b/src/main/java/rillyard/proxy/Dispatcher.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
@@ -49,6 +50,7 @@
   private final Hosts hosts;
   private final ListGuard guard;
   private final Gaps gaps;
+  private final Neighbours neighbours;
   private final TakenOut takenOut = new TakenOut();
   private final Figures figures;
   private final Balancer balancer;
@@ -62,9 +64,10 @@
   private Runnable follow = () -> {};
 
   Dispatcher(EventLoop loop, Config config, Upstreams upstreams, BodyBudget budget, Log log,
-      ListGuard guard, Gaps gaps) {
+      ListGuard guard, Gaps gaps, Neighbours neighbours) {
     this.loop = loop;
     this.gaps = gaps;
+    this.neighbours = neighbours;
     this.log = log;
     this.guard = guard;
     this.settings = config.settings();
@@ -249,8 +252,11 @@
     deliver(e, () -> balancer.onRequest(now(), arrival));
   }
 
-  /** Writes an attempt down, if that was asked for. */
-  void trace(Host h, Result result, double spent) {
+  /** Writes an attempt down and tells neighbours, if that was asked for. */
+  void attemptEnded(Host h, Result result, double spent) {
+    if (neighbours != null) {
+      neighbours.ended(h.name, result, now());
+    }
     if (log.trace() != null) {
       double age = now() - spent - h.told.onlineSince();
       log.trace().attempt(h.name, result, spent, age >= 0 && age < settings.rules().cold());
@@ -321,11 +327,19 @@
     if (guard != null) {
       endDoubts();
     }
+    if (neighbours != null) {
+      neighbours.step(now(), hosts.inUse(), new Heeding(this));
+    }
     upstreams.sweep(hosts.all());
     hosts.forgetGone();
     figures.members(hosts.listedCount(), balancer.avoided());
   }
 
+  /** Tells the module something that no request is about. */
+  void tell(Consumer<Balancer> what) {
+    deliver(null, () -> what.accept(balancer));
+  }
+
   // --- actions
 
   @Override
--- a/src/main/java/rillyard/proxy/Exchange.java
+++ b/src/main/java/rillyard/proxy/Exchange.java
@@ -183,7 +183,7 @@
   void attemptEnded(Attempt a, Result result, double spent, LoadReport report) {
     open--;
     last = result;
-    dispatcher.trace(a.host, result, spent);
+    dispatcher.attemptEnded(a.host, result, spent);
     if (upload != null && stream != a) {
       upload.detached(a.connection());
       mayHaveRun |= !result.neverRan();
--- a/src/main/java/rillyard/proxy/Proxy.java
+++ b/src/main/java/rillyard/proxy/Proxy.java
@@ -56,11 +56,11 @@
   private long acceptUntil;
 
   Proxy(Config config, Log log) {
-    this(config, log, null);
+    this(config, log, null, null);
   }
 
-  /** {@code guard} is null where whole lists are always believed. */
-  Proxy(Config config, Log log, ListGuard guard) {
+  /** {@code guard} is null where whole lists are always believed, {@code neighbours} where nobody brings news. */
+  Proxy(Config config, Log log, ListGuard guard, Neighbours neighbours) {
     this.config = config;
     this.log = log;
     Gaps gaps = new Gaps(System.nanoTime());
@@ -71,7 +71,7 @@
         Math.max(LEAST_BODIES_MB, Math.min(MOST_BODIES_MB, config.memoryMb() - BASE_MB));
     BodyBudget budget = new BodyBudget(bodies << 20);
     Upstreams upstreams = new Upstreams(group, config, sockets, log);
-    this.dispatcher = new Dispatcher(loop, config, upstreams, budget, log, guard, gaps);
+    this.dispatcher = new Dispatcher(loop, config, upstreams, budget, log, guard, gaps, neighbours);
     this.front = new Front(dispatcher, config, sockets, budget, log);
     this.discovery = new Discovery(group, config, dispatcher, log);
   }
@@ -96,7 +96,17 @@
    * @throws ConfigException if there is no configuration to run with
    */
   public static void run(Map<String, String> env) throws ConfigException {
-    begin(env, WARM_UP_MS).awaitEnd();
+    run(env, null);
+  }
+
+  /**
+   * The same with news from other proxies.
+   *
+   * @param neighbours brings it; null where nobody does
+   * @throws ConfigException if there is no configuration to run with
+   */
+  public static void run(Map<String, String> env, Neighbours neighbours) throws ConfigException {
+    begin(env, WARM_UP_MS, neighbours).awaitEnd();
   }
 
   /**
@@ -104,14 +114,14 @@
    *
    * @throws ConfigException if there is no configuration to run with
    */
-  static Proxy begin(Map<String, String> env, long warmUp) throws ConfigException {
+  static Proxy begin(Map<String, String> env, long warmUp, Neighbours neighbours) throws ConfigException {
     StartMarks.at("main");
     // Netty would look for two other libraries first, in a jar that holds neither.
     InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
     Config config = Config.load(env);
     StartMarks.at("settings");
     Trace trace = Boolean.getBoolean(Trace.PROPERTY) ? new Trace(System.err) : null;
-    Proxy p = new Proxy(config, new Log(System.err, trace), ListOptions.guard(System.getProperties()));
+    Proxy p = new Proxy(config, new Log(System.err, trace), ListOptions.guard(System.getProperties()), neighbours);
     // Before anything is taken: guards against a signal that finds it listening and without a drain.
     // An exit by SIGTERM is status 143 to the JVM, and a drain that is done is a success.
     Runtime.getRuntime()
--- a/src/main/java/rillyard/proxy/Rehearsal.java
+++ b/src/main/java/rillyard/proxy/Rehearsal.java
@@ -53,7 +53,7 @@
       Path file = Files.writeString(folder.resolve("config.json"), CONFIG);
       Map<String, String> env =
           Map.of("BALANCER_CONFIG", file.toString(), "TMPDIR", folder.toString());
-      InetSocketAddress operator = Proxy.begin(env, MOST_MS).operatorAddress();
+      InetSocketAddress operator = Proxy.begin(env, MOST_MS, null).operatorAddress();
       call(operator, "GET /_ready", "");
       call(operator, "GET /_vars", "");
       call(operator, "POST /_hosts/detach", "a");
--- /dev/null
+++ b/src/main/java/rillyard/spread/Vote.java
@@ -0,0 +1,36 @@
+package rillyard.spread;
+
+/**
+ * What one proxy last saw of one host.
+ *
+ * @param host its number, {@link #number} of its name
+ * @param failed whether the last attempt that told anything failed
+ * @param age ms since then, 0 to {@link #MAX_AGE}
+ */
+public record Vote(int host, boolean failed, double age) {
+  /** The oldest (ms) that fits on the wire; nobody counts one so old. */
+  public static final double MAX_AGE = 127 * Ballot.AGE_STEP;
+
+  /**
+   * Checks the age.
+   *
+   * @throws IllegalArgumentException if it is out of its range
+   */
+  public Vote {
+    if (!(age >= 0 && age <= MAX_AGE)) {
+      throw new IllegalArgumentException("a vote of " + age + " ms, expected 0 to " + MAX_AGE);
+    }
+  }
+
+  /**
+   * A host's number: 32 bits of its name, the same in every process. Two of 1,000 hosts share one once in some 9,000
+   * fleets; they are then left and taken back together.
+   */
+  public static int number(String name) {
+    long h = 0xcbf29ce484222325L; // FNV-1a, its halves folded
+    for (int i = 0; i < name.length(); i++) {
+      h = (h ^ name.charAt(i)) * 0x100000001b3L;
+    }
+    return (int) (h ^ h >>> 32);
+  }
+}
--- a/src/main/java/rillyard/trial/TrialFleet.java
+++ b/src/main/java/rillyard/trial/TrialFleet.java
@@ -155,7 +155,8 @@
     Files.writeString(settings, "key_file = \"" + key.toAbsolutePath() + "\"\nseeds = \"" + seeds
         + "\"\n[self]\nname = \"" + m.name() + "\"\nlisten = \"" + text(own.get(m.index())) + "\"\nadvertise = \""
         + text(relays.address(m)) + "\"\nzone = " + m.zone() + "\nregion = " + m.region()
-        + "\nadmin = \"" + text(admin.get(m.index())) + "\"\nhistory = \"" + history(m).toAbsolutePath() + "\"\n[test]\nclock_rate = " + plan.clockRate(m)
+        + "\nadmin = \"" + text(admin.get(m.index())) + "\"\nhistory = \"" + history(m).toAbsolutePath() + "\"\n[spread]\nnews = " + plan.news()
+        + "\n[test]\nclock_rate = " + plan.clockRate(m)
         + "\n[membership]\n" + plan.membership());
     Path log = folder.resolve(m.name() + ".log");
     Path config = folder.resolve(m.name() + ".json");
--- a/src/main/java/rillyard/trial/TrialPlan.java
+++ b/src/main/java/rillyard/trial/TrialPlan.java
@@ -12,11 +12,12 @@
  * @param regions zones are dealt to them in turn
  * @param lasts ms of the timetable, from when all have found each other
  * @param membership lines for the {@code [membership]} table of each process's settings
+ * @param news whether the processes tell each other which hosts fail, and how much each sends
  * @param hosts what the processes send to; its own faults begin with the timetable
  * @param load what clients ask of the processes, client k of number k modulo the processes; null for nothing
  * @param clocks processes whose clocks go wrong
  */
-public record TrialPlan(long seed, int processes, int zones, int regions, double lasts, String membership,
+public record TrialPlan(long seed, int processes, int zones, int regions, double lasts, String membership, boolean news,
     StandInPlan hosts, LoadPlan load, List<Clock> clocks, List<Fault> faults) {
   /** Copies the lists. */
   public TrialPlan {
@@ -50,6 +51,6 @@
     List<Fault> all = new java.util.ArrayList<>(faults);
     all.addAll(more);
     all.sort(java.util.Comparator.comparingDouble(Fault::at));
-    return new TrialPlan(seed, processes, zones, regions, lasts, membership, hosts, load, clocks, all);
+    return new TrialPlan(seed, processes, zones, regions, lasts, membership, news, hosts, load, clocks, all);
   }
 }
--- a/src/main/java/rillyard/trial/TrialPlanReader.java
+++ b/src/main/java/rillyard/trial/TrialPlanReader.java
@@ -50,6 +50,7 @@
     TomlTable m = root.table("membership");
     String membership = String.format(Locale.ROOT, "interval_ms = %s%ntimeout_ms = %s%n",
         m.number("interval_ms", 500, 100, 60_000), m.number("timeout_ms", 150, 10, 30_000));
+    boolean news = root.flag("news", false);
     List<Fault> faults = new ArrayList<>();
     for (TomlTable t : root.tables("fault")) {
       faults.add(fault(t, lasts));
@@ -64,7 +65,7 @@
     }
     root.finish();
     faults.sort(Comparator.comparingDouble(Fault::at));
-    return new TrialPlan(seed, processes, zones, regions, lasts, membership, served, asked, clocks, faults);
+    return new TrialPlan(seed, processes, zones, regions, lasts, membership, news, served, asked, clocks, faults);
   }
 
   /** What clients ask for has to be what hosts serve: a proxy turns all else away, and nothing would be shown. */
--- a/src/test/java/rillyard/member/FactsTest.java
+++ b/src/test/java/rillyard/member/FactsTest.java
@@ -22,7 +22,7 @@
 
   private static void say(VirtualFleet f, int i, int value, double lasts) {
     byte[] bytes = value < 0 ? new byte[0] : new byte[] {(byte) value};
-    f.node(i).member.say(f.now - f.node(i).startedAt, KIND, bytes, lasts);
+    f.node(i).member.say(f.now - f.node(i).startedAt, KIND, bytes, lasts, true);
   }
 
   /** What member {@code by} holds of member {@code i}; -1 for nothing. */
@@ -122,13 +122,13 @@
     VirtualFleet f = joined(6, 3);
     Membership m = f.node(0).member;
     int said = 0;
-    while (m.say(f.now, KIND, new byte[] {(byte) (said % 100)}, 60 * S)) {
+    while (m.say(f.now, KIND, new byte[] {(byte) (said % 100)}, 60 * S, true)) {
       said++;
     }
     assertThat(said).isBetween(37_000, 38_000); // the first 1,024, and ten a second for the hour that clocks may differ by
     int last = (said - 1) % 100;
     assertThat(f.until(10 * S, () -> allHold(f, 0, last))).isNotNegative();
-    assertThat(m.say(f.now, KIND, new byte[] {1}, 60 * S)).as("ten seconds later").isTrue();
+    assertThat(m.say(f.now, KIND, new byte[] {1}, 60 * S, true)).as("ten seconds later").isTrue();
   }
 
   @Test
--- a/src/test/java/rillyard/proxy/Rig.java
+++ b/src/test/java/rillyard/proxy/Rig.java
@@ -81,7 +81,8 @@
         new Proxy(
             Config.load(Map.of("BALANCER_CONFIG", file.toString())),
             new Log(out, traced ? new Trace(out) : null),
-            guard);
+            guard,
+            null);
     Files.delete(file);
     proxy.start();
     port = proxy.address().getPort();
--- a/src/test/java/rillyard/trial/TrialResultTest.java
+++ b/src/test/java/rillyard/trial/TrialResultTest.java
@@ -12,7 +12,7 @@
   private static final long BEGUN = 1_000_000;
 
   private static int falseDeaths(Fault f, String by, String about, long atMs) {
-    TrialPlan plan = new TrialPlan(1, 4, 2, 1, 60_000, "", null, null, List.of(), List.of(f));
+    TrialPlan plan = new TrialPlan(1, 4, 2, 1, 60_000, "", false, null, null, List.of(), List.of(f));
     Beliefs b = new Beliefs(List.of(new Belief(BEGUN + atMs, by, about, "DEAD")));
     TrialResult.Done done = new TrialResult.Done(BEGUN + (long) f.at(), f, true);
     return new TrialResult(plan, BEGUN, List.of(done), Set.of(by), b, "").falseDeaths().size();
