After a gap lists are read before requests that came sooner: drained hosts get none of them

Lines: TimedLooks reads sockets in the order in which they became ready, so after a gap a request that came just before a list is sent by the old one, as late as the gap is long; more than the half second of grace where the gap is. Change: a late turn reads the watch first, once overdue requests are ended (Proxy.late, Discovery.readFirst). Measured: GapTest stands still for 300 ms with a request and then a list in its sockets; without the change the drained host gets it.

--- a/src/main/java/rillyard/proxy/Discovery.java
+++ b/src/main/java/rillyard/proxy/Discovery.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -135,6 +136,16 @@
         });
   }
 
+  /**
+   * Reads what the watch has waiting, ahead of all other sockets. Guards against requests that came before a list did and,
+   * after a gap in this process's own time, would be read before it: they would go to hosts that drain by then.
+   */
+  void readFirst() {
+    if (watch != null && watch.channel instanceof AbstractNioChannel c && c.isActive()) {
+      c.unsafe().read();
+    }
+  }
+
   /** Ends a watch that has gone silent. */
   void sweep() {
     if (watch != null && System.nanoTime() - watch.heardAt > SILENCE_NANOS) {
--- a/src/main/java/rillyard/proxy/Proxy.java
+++ b/src/main/java/rillyard/proxy/Proxy.java
@@ -81,10 +81,11 @@
     return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop", true), sockets);
   }
 
-  /** The loop or the process stood still: who has waited past their time is told before anything is read. */
+  /** The loop or the process stood still: who has waited past their time is told first, then lists are read. */
   private void late(long nanos) {
     try {
       dispatcher.endOverdue(nanos);
+      discovery.readFirst();
     } catch (RuntimeException e) {
       log.failure("what was overdue could not be ended", e); // the timers will
     }
--- a/src/test/java/rillyard/proxy/GapTest.java
+++ b/src/test/java/rillyard/proxy/GapTest.java
@@ -73,4 +73,26 @@
       answer.countDown();
     }
   }
+
+  @Test
+  void aListThatCameMeanwhileIsReadBeforeARequestThatCameSooner() throws Exception {
+    try (ScriptedServer a = ScriptedServer.host(r -> ScriptedServer.ok("a"));
+        ScriptedServer b = ScriptedServer.host(r -> ScriptedServer.ok("b"));
+        Rig rig = new Rig(Rig.server("a", a.port()));
+        Peer c = rig.client()) {
+      rig.tell(2, true, Rig.server("b", b.port()));
+      String by;
+      do { // until the watch is open and has been read
+        c.write(Rig.get("read", 2_000));
+        by = c.read().text();
+      } while (!by.equals("b"));
+      b.requests.clear();
+      CountDownLatch open = rig.blockLoop();
+      c.write(Rig.get("read", 2_000));
+      rig.tell(3, true, Rig.server("a", a.port()), Rig.server("b", b.port(), 0, "draining"));
+      standStill(open, TIME_MS);
+      assertThat(c.read().text()).isEqualTo("a");
+      assertThat(b.requests).isEmpty();
+    }
+  }
 }
