--- a/src/main/java/rillyard/balancer/Draw.java
+++ b/src/main/java/rillyard/balancer/Draw.java
@@ -34,7 +34,7 @@
     this.attempts = attempts;
     this.admission = admission;
     this.random = random;
-    place(new Place(Math.floorMod(settings.position(), settings.balancers()), settings.balancers(), 1));
+    place(new Place(Math.floorMod(settings.position(), settings.balancers()), settings.balancers(), 1, false));
   }
 
   /** The pool is laid there for the next request. */
@@ -106,7 +106,7 @@
 
   private void consider(Fleet.Host h, Attempts.Call c, double now) {
     double count = health.count(h, c.type, now);
-    double wait = fleet.expectedWait(h, now);
+    double wait = place.coldFirst() && fleet.warmth(h, now) < 1 ? 0 : fleet.expectedWait(h, now);
     if (best != null && count > bestCount + 0.5) {
       return;
     }
--- a/src/main/java/rillyard/balancer/Place.java
+++ b/src/main/java/rillyard/balancer/Place.java
@@ -6,8 +6,10 @@
  * @param position of this proxy among {@code of}, from 0
  * @param of proxies that lay their pools over the ring, 1 and more
  * @param weight times the usual size, 1 and more: a proxy with more of the traffic spreads it over more hosts
+ * @param coldFirst whether a cold host that may get a request, by what is lent to it, wins ties: it then gets what all
+ *     proxies together lend it, where else it gets what is left of that by chance
  */
-public record Place(int position, int of, double weight) {
+public record Place(int position, int of, double weight, boolean coldFirst) {
   /**
    * Checks the ranges.
    *
--- a/src/main/java/rillyard/spread/net/FleetNews.java
+++ b/src/main/java/rillyard/spread/net/FleetNews.java
@@ -139,7 +139,7 @@
     });
     Pool p = known.present().isEmpty() ? null : pools.lay(known.self(), known.present(), rates);
     if (p != null) {
-      heed.place(new Place(p.position(), p.of(), p.weight()));
+      heed.place(new Place(p.position(), p.of(), p.weight(), true));
       heed.log(String.format(Locale.ROOT, "fleet: pool %d of %d, weight %.2f", p.position(), p.of(), p.weight()));
     }
   }
--- a/src/test/java/rillyard/balancer/FleetWordTest.java
+++ b/src/test/java/rillyard/balancer/FleetWordTest.java
@@ -64,11 +64,44 @@
     b.onMembership(bench.now, News.FULL, all);
     Set<Long> first = used(300);
     assertThat(first).hasSizeBetween(5, 9);
-    b.onPlace(new Place(1, 2, 1));
+    b.onPlace(new Place(1, 2, 1, false));
     Set<Long> other = used(300);
     assertThat(other).hasSizeBetween(5, 9).doesNotContainAnyElementsOf(first);
-    b.onPlace(new Place(1, 2, 5));
+    b.onPlace(new Place(1, 2, 5, false));
     assertThat(used(2_000)).hasSizeGreaterThan(28);
     assertThat(s.position()).isZero();
   }
+
+  /** Requests that a host gets in its first three seconds after a cold start, of 40 proxies that send six hosts 50 a second. */
+  private static int firstOfCold(boolean coldFirst) {
+    int got = 0;
+    for (int k = 0; k < 40; k++) {
+      Bench at = new Bench();
+      Balancer one = new Balancer(Bench.settings(Bench.type("visit", Settings.Semantics.IDEMPOTENT, Settings.Scope.ALL)), k, at);
+      one.onStart(at.now);
+      one.onMembership(at.now, News.FULL, Bench.hosts(6));
+      one.onPlace(new Place(0, 1, 1, coldFirst));
+      at.now += k * 20;
+      double started = 31_000; // each has sent for half a minute by then
+      for (int i = 0; at.now < started + 3_000; i++) {
+        if (at.now >= started && at.now - 800 < started) {
+          one.onMembership(started, News.DELTA, List.of(Bench.host(2, HostEntry.Condition.READY, started)));
+        }
+        one.onRequest(at.now, Bench.request(i, "visit", 800));
+        got += at.now >= started && at.last().host() == 2 ? 1 : 0;
+        one.onOutcome(at.now + 5, i, 0, Result.OK, 5, true, null);
+        at.now += 800;
+      }
+    }
+    return got;
+  }
+
+  @Test
+  void whatAllLendAColdHostIsUsedWhereItWinsTies() {
+    int byChance = firstOfCold(false);
+    int first = firstOfCold(true);
+    assertThat(first).isGreaterThan(byChance * 3 / 2);
+    // Half of three times three to five tenths of its sixth of 50 a second, in three seconds: 15, and as much by chance again.
+    assertThat(first).isBetween(5, 25);
+  }
 }
