--- a/src/main/java/rillyard/member/Membership.java
+++ b/src/main/java/rillyard/member/Membership.java
@@ -210,11 +210,10 @@
 
   private void begin(double now) {
     Belief b = roster.nextToProbe();
-    if (b == null) {
-      return;
+    if (b != null) {
+      probe = new Probe(++sequence, b.word.card(), now, health.factor(), settings);
+      send(Kind.PING, probe.sequence, probe.target.at(), probe.target.name(), null);
     }
-    probe = new Probe(++sequence, b.word.card(), now, health.factor(), settings);
-    send(Kind.PING, probe.sequence, probe.target.at(), probe.target.name(), null);
   }
 
   private void goOn(double now) {
--- a/src/main/java/rillyard/proxy/Dispatcher.java
+++ b/src/main/java/rillyard/proxy/Dispatcher.java
@@ -11,8 +11,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import rillyard.balancer.Actions;
 import rillyard.balancer.Arrival;
@@ -38,8 +36,6 @@
   /** The module's clock begins here, so that a host that started before this process has a time. */
   private static final double CLOCK_START = 1e9;
 
-  private static final Pattern HOST = Pattern.compile("host (\\d{1,19})");
-
   private record Event(Exchange about, Runnable what) {}
 
   private final EventLoop loop;
@@ -395,13 +391,6 @@
 
   @Override
   public void log(String line) {
-    log.line(() -> named(line));
-  }
-
-  /** The people on call know hosts by their names, the module by numbers. */
-  private String named(String line) {
-    Matcher m = HOST.matcher(line);
-    Host h = m.find() ? hosts.get(Long.parseLong(m.group(1))) : null;
-    return h == null ? line : m.replaceFirst("host " + Matcher.quoteReplacement(h.name));
+    log.line(() -> hosts.named(line));
   }
 }
--- a/src/main/java/rillyard/proxy/Hosts.java
+++ b/src/main/java/rillyard/proxy/Hosts.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import rillyard.balancer.HostEntry;
 import rillyard.hostlist.TakenOut;
 
@@ -20,6 +22,8 @@
   /** One entry; an address may be absent where nothing is sent to it. */
   record Listed(String name, InetSocketAddress address, HostEntry entry) {}
 
+  private static final Pattern HOST = Pattern.compile("host (\\d{1,19})");
+
   private final Map<String, Host> byName = new HashMap<>();
   private final Map<Long, Host> byId = new HashMap<>();
   private final TakenOut out;
@@ -35,6 +39,13 @@
     return byId.get(id);
   }
 
+  /** A line of the module's with the host's name: the people on call know hosts by names, the module by numbers. */
+  String named(String line) {
+    Matcher m = HOST.matcher(line);
+    Host h = m.find() ? byId.get(Long.parseLong(m.group(1))) : null;
+    return h == null ? line : m.replaceFirst("host " + Matcher.quoteReplacement(h.name));
+  }
+
   Collection<Host> all() {
     return byId.values();
   }
