News of hosts gets older once its member has left, and saying more is no error; its own tests

Seen on reading: at SIGTERM the member leaves at once while the proxy drains; a step that had something to tell was then rejected by the member's loop, which would have skipped the drain's upkeep, and votes held so far never got older. Change: FleetMember.say says nothing once ended, Known.age counts on.

--- a/src/main/java/rillyard/member/net/FleetMember.java
+++ b/src/main/java/rillyard/member/net/FleetMember.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import rillyard.member.Change;
 import rillyard.member.Codec;
@@ -48,12 +49,18 @@
    * @param self its name
    * @param present names of all who are present, this one's among them; empty before the first copy
    * @param followed facts of the kinds that are followed, by owner
+   * @param at nanoseconds of this JVM's clock when it held them
    */
-  public record Known(String self, List<String> present, Map<Integer, Map<String, Fact>> followed) {
+  public record Known(String self, List<String> present, Map<Integer, Map<String, Fact>> followed, long at) {
     /** The facts of a kind that is followed. */
     public Map<String, Fact> facts(int kind) {
       return followed.getOrDefault(kind, Map.of());
     }
+
+    /** How old a fact of these is by now (ms), also where this member has ended and holds nothing newer. */
+    public double age(Fact f) {
+      return f.age() + (System.nanoTime() - at) / 1e6;
+    }
   }
 
   private final FleetSettings settings;
@@ -87,7 +94,7 @@
         : new Seal(settings.keys(), settings.card().at(), startedUnix, settings.member().most());
     this.member = new Membership(settings.member(), settings.card(), startedUnix, settings.seeds(),
         new SplittableRandom(seed), new Doing());
-    this.known = new Known(settings.card().name(), List.of(), Map.of());
+    this.known = new Known(settings.card().name(), List.of(), Map.of(), startedAt);
   }
 
   /** Facts of these kinds are to be found in {@link #known}; to be called before {@link #start}. */
@@ -101,16 +108,21 @@
   }
 
   /**
-   * Says something of this member to all, as {@link Membership#say}; may be called on any thread once started.
+   * Says something of this member to all, as {@link Membership#say}; may be called on any thread once started, and says
+   * nothing once this member has ended.
    *
    * @param again whether it is said again in time; else it ends by itself
    */
   public void say(int kind, byte[] value, double lasts, boolean again) {
-    channel.eventLoop().execute(() -> {
-      if (!member.say(now(), kind, value, lasts, again)) {
-        log.println("rillyard: fleet: a fact of kind " + kind + " is not said: too many of them");
-      }
-    });
+    try {
+      channel.eventLoop().execute(() -> {
+        if (!member.say(now(), kind, value, lasts, again)) {
+          log.println("rillyard: fleet: a fact of kind " + kind + " is not said: too many of them");
+        }
+      });
+    } catch (RejectedExecutionException e) {
+      // it has left, while the proxy beside it still drains
+    }
   }
 
   private void copy(double now) {
@@ -124,7 +136,7 @@
     }
     List<String> present = new ArrayList<>(List.of(settings.card().name()));
     member.others().stream().filter(u -> u.status().present()).forEach(u -> present.add(u.card().name()));
-    known = new Known(settings.card().name(), List.copyOf(present), Map.copyOf(facts));
+    known = new Known(settings.card().name(), List.copyOf(present), Map.copyOf(facts), System.nanoTime());
   }
 
   /**
--- a/src/main/java/rillyard/spread/net/FleetNews.java
+++ b/src/main/java/rillyard/spread/net/FleetNews.java
@@ -98,7 +98,7 @@
           return;
         }
         try {
-          for (Vote v : Ballot.decode(fact.value(), fact.age())) {
+          for (Vote v : Ballot.decode(fact.value(), known.age(fact))) {
             if (names.containsKey(v.host())) {
               byOwner.computeIfAbsent(owner, o -> new ArrayList<>()).add(v);
             }
--- a/src/test/java/rillyard/member/FactsTest.java
+++ b/src/test/java/rillyard/member/FactsTest.java
@@ -54,6 +54,21 @@
     assertThat(allHold(f, 4, -1)).isTrue();
   }
 
+  @Test
+  void aFactThatIsSaidOnceEndsByItselfAndIsNeverYounger() {
+    VirtualFleet f = joined(9, 20);
+    f.node(4).member.say(f.now - f.node(4).startedAt, KIND, new byte[] {1}, 9 * S, false);
+    assertThat(f.until(5 * S, () -> allHold(f, 4, 1))).as("time (ms)").isBetween(0.0, 5 * S);
+    f.run(4 * S); // past a third of its time, at which one that is said again would be
+    Fact held = f.node(7).member.facts(f.now - f.node(7).startedAt, KIND).get("m4");
+    assertThat(held.age()).isGreaterThan(4 * S);
+    assertThat(held.version()).isZero();
+    assertThat(f.until(10 * S, () -> allHold(f, 4, -1))).as("time (ms)").isBetween(0.0, 6 * S);
+    say(f, 4, 2, 9 * S);
+    f.run(30 * S);
+    assertThat(allHold(f, 4, 2)).as("said again where that was asked for").isTrue();
+  }
+
   @Test
   void aFactThatIsNotSaidAgainEndsAndOneThatIsStays() {
     VirtualFleet f = joined(2, 20);
--- a/src/test/java/rillyard/member/net/FleetFileTest.java
+++ b/src/test/java/rillyard/member/net/FleetFileTest.java
@@ -25,6 +25,8 @@
     assertThat(s.seeds()).hasSize(3);
     assertThat(s.member()).isEqualTo(rillyard.member.MemberSettings.USUAL);
     assertThat(s.history()).isNull();
+    assertThat(s.spread()).as("news of hosts").isFalse();
+    assertThat(read("[self]\nlisten = \"127.0.0.1:7400\"\n[spread]\nnews = true\n").spread()).isTrue();
   }
 
   @Test
--- a/src/test/java/rillyard/spread/FleetOfWords.java
+++ b/src/test/java/rillyard/spread/FleetOfWords.java
@@ -42,6 +42,8 @@
   final double each;
   private final Map<Proxy, List<Heard>> said = new HashMap<>();
   double now = 1e9;
+  /** Whether every second one believes in half as many proxies as there are. */
+  boolean halfAreWrong;
   int sent;
   int failed;
   /** Sends to the host in each second since the start. */
@@ -88,7 +90,7 @@
             }
           }
         });
-        List<Vote> mine = p.words.step(others, proxies.size(), 1, now);
+        List<Vote> mine = p.words.step(others, halfAreWrong && proxies.indexOf(p) % 2 == 0 ? proxies.size() / 2 : proxies.size(), 1, now);
         List<Heard> all = said.computeIfAbsent(p, x -> new ArrayList<>());
         all.add(new Heard(now, mine));
         all.removeIf(h -> now - h.at > late + 5_000);
--- a/src/test/java/rillyard/spread/HostWordsTest.java
+++ b/src/test/java/rillyard/spread/HostWordsTest.java
@@ -60,6 +60,24 @@
     assertThat(last - first).as("ms from the first to the last").isBetween(1_000.0, 4_500.0);
   }
 
+  @Test
+  void theirPaceHoldsWhereHalfBelieveInHalfTheFleet() {
+    FleetOfWords right = new FleetOfWords(100, LATE, 0.3, 4);
+    FleetOfWords half = new FleetOfWords(100, LATE, 0.3, 4);
+    half.halfAreWrong = true;
+    int[] trials = new int[2];
+    int k = 0;
+    for (FleetOfWords f : List.of(right, half)) {
+      f.run(4_000, 0);
+      f.run(10_000, 1);
+      int before = f.sent;
+      f.run(30_000, 1);
+      trials[k++] = f.sent - before;
+    }
+    assertThat(trials[0]).as("in 30 s, two a second meant").isBetween(20, 90);
+    assertThat(trials[1]).as("with half of them wrong").isLessThan(135);
+  }
+
   @Test
   void oneOrTwoThatLieMoveNobody() {
     int host = FleetOfWords.HOST;
