--- a/src/main/java/rillyard/trial/Trial.java
+++ b/src/main/java/rillyard/trial/Trial.java
@@ -254,6 +254,14 @@
             fleet.end(f, m);
           }
         }
+        if (f.kind() == Fault.Kind.RESTART) {
+          // Guards against kills that wait behind the starts of others: they would come seconds after their time.
+          for (TrialMember m : fleet.members()) {
+            if (f.on().has(m)) {
+              fleet.start(m);
+            }
+          }
+        }
       }
     }
   }
--- a/src/main/java/rillyard/trial/TrialFleet.java
+++ b/src/main/java/rillyard/trial/TrialFleet.java
@@ -168,17 +168,14 @@
     return children[m.index()];
   }
 
-  /** Begins what is done to a process; what lasts does until {@link #end}. */
+  /** Begins what is done to a process; what lasts does until {@link #end}, who is restarted is to be started. */
   void begin(Fault f, TrialMember m) throws IOException, InterruptedException {
     switch (f.kind()) {
       case KILL -> child(m).kill();
       case TERM -> child(m).terminate();
       case STOP -> child(m).pause();
       case STARVE -> starving.begin(child(m), f.share());
-      case RESTART -> {
-        child(m).kill();
-        start(m);
-      }
+      case RESTART -> child(m).kill(); // started again once all that the fault is about are down
       default -> throw new IllegalArgumentException(f.kind() + " is done to no process");
     }
   }
