A proxy cut off from all news tries a host it left after 20 s, not at its turn among all

Seen on reading: a host's trials are dealt over all proxies, so one of 200 may wait 200 s for its turn; cut off from the others' news it would have waited that long for a host that serves again. Change: who hears of no failure there for 20 s comes back by itself, to a trial. Measured: by a test that fails without it.

--- a/src/main/java/rillyard/spread/HostWords.java
+++ b/src/main/java/rillyard/spread/HostWords.java
@@ -75,10 +75,22 @@
       Word w = words.computeIfAbsent(host, h -> new Word());
       decide(host, w, seen.get(host), others, users, now);
     }
-    words.values().removeIf(w -> now - w.heardAt > settings.forget());
+    words.entrySet().removeIf(e -> forgotten(e.getKey(), e.getValue(), now));
     return mine;
   }
 
+  /**
+   * Whether nobody has told of a failure there for so long. Guards against a proxy that is cut off from the others' news and
+   * waits on for its turn among all of them: it tries a host that it has left.
+   */
+  private boolean forgotten(int host, Word w, double now) {
+    boolean over = now - w.heardAt > settings.forget();
+    if (over && w.left) {
+      out.comeBack(host, settings.ramp() * random.nextDouble());
+    }
+    return over;
+  }
+
   private void decide(int host, Word w, Vote mine, List<List<Vote>> others, double users, double now) {
     Tally tally = mine != null && now - mine.age() > w.since ? Tally.NONE.plus(mine) : Tally.NONE;
     for (List<Vote> votes : others) {
--- a/src/test/java/rillyard/spread/HostWordsTest.java
+++ b/src/test/java/rillyard/spread/HostWordsTest.java
@@ -129,6 +129,31 @@
     assertThat(leaves).isEmpty();
   }
 
+  @Test
+  void whoIsCutOffFromAllNewsTriesAHostThatItLeftBeforeItsTurnAmongAll() {
+    List<Double> backs = new ArrayList<>();
+    HostWords words = new HostWords(SpreadSettings.USUAL, new SplittableRandom(1), new HostWords.Out() {
+      @Override
+      public void leave(int host, double wait, int failed, int served) {}
+
+      @Override
+      public void comeBack(int host, double wait) {
+        backs.add(wait);
+      }
+    });
+    List<Vote> failed = List.of(new Vote(FleetOfWords.HOST, true, 0));
+    double now = 1e6;
+    for (; now < 1e6 + 3_000; now += 250) {
+      words.step(List.of(failed, failed, failed), 10_000, 1, now);
+    }
+    for (double cut = now; now < cut + SpreadSettings.USUAL.forget() - 1_000; now += 250) {
+      words.step(List.of(), 1, 1, now);
+    }
+    assertThat(backs).isEmpty();
+    words.step(List.of(), 1, 1, now + 2_000);
+    assertThat(backs).hasSize(1).allMatch(wait -> wait <= SpreadSettings.USUAL.ramp());
+  }
+
   @Test
   void newsFiveSecondsLateLeavesAHostThatIsWellForNoLongerThanItsTrialsTake() {
     FleetOfWords f = new FleetOfWords(100, 5_000, 0.3, 9);
