--- a/src/main/java/rillyard/spread/net/FleetNews.java
+++ b/src/main/java/rillyard/spread/net/FleetNews.java
@@ -41,7 +41,6 @@
   private static final double RENEW = 1_000;
 
   private final FleetMember member;
-  private final SpreadSettings settings;
   private final HostWords words;
   private final Pools pools = new Pools();
   private final Rate rate = new Rate();
@@ -56,7 +55,6 @@
   /** The member is to be started by whoever made it. */
   public FleetNews(FleetMember member, SpreadSettings settings, long seed) {
     this.member = member;
-    this.settings = settings;
     this.words = new HostWords(settings, new SplittableRandom(seed), new Decided());
     member.follow(FIRST_KIND, FIRST_KIND + 1, FIRST_KIND + 2, RATE);
   }
