--- a/src/main/java/rillyard/spread/Pools.java
+++ b/src/main/java/rillyard/spread/Pools.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Map;
+import rillyard.balancer.Place;
 
 /**
  * Lays this proxy's pool from the names and rates of all. Where pools are of one size whatever is sent from them, a proxy
@@ -18,7 +19,7 @@
   /** A pool moves only by more than this part of the ring. */
   private static final double MOVE = 1 / 64.0;
 
-  private Pool now;
+  private Place now;
 
   /**
    * The pool by what is known, or null where it stays as it was.
@@ -27,7 +28,7 @@
    * @param names of all proxies present, this one's among them
    * @param rates requests a second, by name; those not known are left out of the mean
    */
-  public Pool lay(String self, Collection<String> names, Map<String, Double> rates) {
+  public Place lay(String self, Collection<String> names, Map<String, Double> rates) {
     int own = Vote.number(self);
     int position = 0;
     for (String n : names) {
@@ -36,7 +37,8 @@
     }
     double mean = rates.values().stream().mapToDouble(d -> d).average().orElse(0);
     double rate = rates.getOrDefault(self, 0.0);
-    Pool next = new Pool(position, Math.max(1, names.size()), mean > 0 ? Math.min(MOST, Math.max(1, rate / mean)) : 1);
+    double weight = mean > 0 ? Math.min(MOST, Math.max(1, rate / mean)) : 1;
+    Place next = new Place(position, Math.max(1, names.size()), weight, true);
     if (now != null && Math.abs(next.weight() / now.weight() - 1) < WORTH && Math.abs(part(next) - part(now)) < MOVE) {
       return null;
     }
@@ -44,7 +46,7 @@
     return next;
   }
 
-  private static double part(Pool p) {
+  private static double part(Place p) {
     return (double) p.position() / p.of();
   }
 }
--- a/src/main/java/rillyard/spread/Rate.java
+++ b/src/main/java/rillyard/spread/Rate.java
@@ -2,7 +2,7 @@
 
 import java.nio.ByteBuffer;
 
-/** This proxy's own requests a second over some thirty seconds, and how it is told. */
+/** This proxy's own attempts a second over some thirty seconds, repeats among them, and how it is told. */
 public final class Rate {
   /** Time constant (ms). */
   private static final double MEMORY = 30_000;
@@ -18,7 +18,7 @@
   private double since = Double.NaN;
   private double told = Double.NaN;
 
-  /** A request of this proxy's own was sent on. */
+  /** An attempt of this proxy's own has ended. */
   public void counted(double now) {
     since = Double.isNaN(since) ? now : since;
     sum = faded(now) + 1;
@@ -29,7 +29,7 @@
     return sum * Math.exp(-(now - at) / MEMORY);
   }
 
-  /** Requests a second; what a process that has just started lacks of its memory is made up for. */
+  /** Attempts a second; what a process that has just started lacks of its memory is made up for. */
   public double now(double now) {
     double seen = 1 - Math.exp(-(now - since + 1_000) / MEMORY);
     return sum == 0 ? 0 : 1_000 * faded(now) / MEMORY / seen;
@@ -48,7 +48,7 @@
   /**
    * Reads what another told.
    *
-   * @return requests a second, 0 to a million
+   * @return attempts a second, 0 to a million
    * @throws IllegalArgumentException if it is none
    */
   public static double read(byte[] value) {
--- a/src/main/java/rillyard/spread/Sightings.java
+++ b/src/main/java/rillyard/spread/Sightings.java
@@ -17,21 +17,16 @@
     last.put(host, new Seen(failed, now));
   }
 
-  /** The hosts that it used within so many ms. */
+  /** How many hosts it used within so many ms. */
   int used(double habit, double now) {
     last.values().removeIf(s -> now - s.at >= habit);
     return last.size();
   }
 
-  /** Whether the last of it was a failure, within a window. */
-  boolean failed(int host, double window, double now) {
-    Seen s = last.get(host);
-    return s != null && s.failed && now - s.at < window;
-  }
-
-  /** The hosts that failed it last, within a window. */
+  /** The hosts whose last sight was a failure, within a window. */
   List<Integer> failing(double window, double now) {
-    return last.keySet().stream().filter(h -> failed(h, window, now)).toList();
+    return last.entrySet().stream().filter(e -> e.getValue().failed && now - e.getValue().at < window)
+        .map(Map.Entry::getKey).toList();
   }
 
   /**
--- a/src/main/java/rillyard/spread/Vote.java
+++ b/src/main/java/rillyard/spread/Vote.java
@@ -1,5 +1,7 @@
 package rillyard.spread;
 
+import net.openhft.hashing.LongHashFunction;
+
 /**
  * What one proxy last saw of one host.
  *
@@ -27,10 +29,6 @@
    * fleets; they are then left and taken back together.
    */
   public static int number(String name) {
-    long h = 0xcbf29ce484222325L; // FNV-1a, its halves folded
-    for (int i = 0; i < name.length(); i++) {
-      h = (h ^ name.charAt(i)) * 0x100000001b3L;
-    }
-    return (int) (h ^ h >>> 32);
+    return (int) LongHashFunction.xx3().hashChars(name);
   }
 }
--- a/src/main/java/rillyard/spread/net/FleetNews.java
+++ b/src/main/java/rillyard/spread/net/FleetNews.java
@@ -16,7 +16,6 @@
 import rillyard.proxy.Neighbours;
 import rillyard.spread.Ballot;
 import rillyard.spread.HostWords;
-import rillyard.spread.Pool;
 import rillyard.spread.Pools;
 import rillyard.spread.Rate;
 import rillyard.spread.SpreadSettings;
@@ -40,6 +39,9 @@
   /** Votes that say the same of newer sights are told again after so long (ms). */
   private static final double RENEW = 1_000;
 
+  /** All names and rates are gone through so often (ms): with thousands of members that is work on the loop. */
+  private static final double LAY_EACH = 1_000;
+
   private final FleetMember member;
   private final HostWords words;
   private final Pools pools = new Pools();
@@ -50,6 +52,7 @@
   private Set<Vote> told = Set.of();
   private double toldAt = Double.NEGATIVE_INFINITY;
   private int factsTold;
+  private double laidAt = Double.NEGATIVE_INFINITY;
   private Heed heed;
 
   /** The member is to be started by whoever made it. */
@@ -84,7 +87,10 @@
     if (news != null) {
       member.say(RATE, news, RATE_LASTS, true);
     }
-    lay(known);
+    if (now - laidAt >= LAY_EACH) {
+      laidAt = now;
+      lay(known);
+    }
   }
 
   /** What the others saw of hosts that this proxy's own list names: nobody's word brings it another. */
@@ -135,9 +141,9 @@
         strange(owner, e);
       }
     });
-    Pool p = known.present().isEmpty() ? null : pools.lay(known.self(), known.present(), rates);
+    Place p = known.present().isEmpty() ? null : pools.lay(known.self(), known.present(), rates);
     if (p != null) {
-      heed.place(new Place(p.position(), p.of(), p.weight(), true));
+      heed.place(p);
       heed.log(String.format(Locale.ROOT, "fleet: pool %d of %d, weight %.2f", p.position(), p.of(), p.weight()));
     }
   }
--- a/src/test/java/rillyard/spread/WirePropertiesTest.java
+++ b/src/test/java/rillyard/spread/WirePropertiesTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import rillyard.balancer.Place;
 
 /** What goes over the wire, and pools from rates. */
 class WirePropertiesTest {
@@ -55,7 +56,7 @@
     }
     List<Integer> positions = new ArrayList<>();
     for (String name : names) {
-      Pool p = new Pools().lay(name, names, rates);
+      Place p = new Pools().lay(name, names, rates);
       positions.add(p.position());
       assertThat(p.of()).isEqualTo(n);
       assertThat(p.weight()).isBetween(1.0, 16.0);
