Ends that cross: repeats past their window, clients that left, idle closes, a drain's last

The log of its proxy has connects to hosts that come up after up to 0.2 s; Attempts.allowed held the window against the moment of the decision, and Upstreams.connect wrote the call whenever the connection came up. Excluded: the group (one cell was tried), the margin (20 ms, the connect takes up to 200). Change: each attempt carries the time past which it must not be written (Attempts.notAfter); a timer ends it then, and the connect asks again before it writes. On the way, of the same kind: an attempt whose connection is still coming up ends with its client where attempts may not be called off (Exchange.clientGone); bytes sent ahead are read and held up to 32 KiB, so that the close behind them is seen; idle connections end by a lingering close, or where room is needed by shutdown, read-out and close, and what comes after is sent nowhere; a drain fails what it holds 0.1 s before its end. Lists: silence is found after 2.8 s (5), a call without an answer after 2.4 s (5), asked discovery is asked again after 2.1 s at most (7.5), a pushed one after 0.4 s (1.5), all under the 6 s after which a change counts as told; only what is whole counts as a sign of life; lists may come indented over lines (ListFrames). BalancerTest held a last wait of 2 to 10 s, which those 6 s forbid: now 0.7 to 2.1 s. The log says malformed list where it said line.

--- a/src/main/java/rillyard/adapter/Adapter.java
+++ b/src/main/java/rillyard/adapter/Adapter.java
@@ -241,7 +241,7 @@
     }
 
     @Override
-    public void send(long request, long host, double giveUpAfter) {
+    public void send(long request, long host, double giveUpAfter, double notAfter) { // the wire has no late connects
       start("transmit").word(" txn=").number(request).word(" host=").number(host);
       if (giveUpAfter > 0) {
         reply.word(" giveUpAfter=").time(giveUpAfter);
--- a/src/main/java/rillyard/balancer/Attempts.java
+++ b/src/main/java/rillyard/balancer/Attempts.java
@@ -26,6 +26,24 @@
       this.cell = host.cell;
       this.sentAt = sentAt;
     }
+
+    /** Until when (ms) a repeat has to be written if this one may have run: hosts forget keys after a time. */
+    double repeatBy() {
+      Settings.RequestClass rules = call.type.rules;
+      return switch (rules.semantics()) {
+        case IDEMPOTENT -> Double.POSITIVE_INFINITY;
+        case DEDUPLICATED -> sentAt + rules.repeatWindow() - Tuning.WINDOW_MARGIN;
+        case AT_MOST_ONCE -> Double.NEGATIVE_INFINITY;
+      };
+    }
+
+    boolean sharesMemory(Fleet.Host target) {
+      return switch (call.type.rules.scope()) {
+        case ALL -> true;
+        case ZONE -> target != null && zone != null && zone.equals(target.zone);
+        case CELL -> target != null && cell == target.cell;
+      };
+    }
   }
 
   /** A client's request while it is held or has attempts out. */
@@ -111,40 +129,27 @@
 
   /** Whether it may go to {@code target}, or be refused where that is null: guards rules 1 and 2. */
   boolean allowed(Call c, Fleet.Host target, double now) {
-    if (c.ended) {
-      return false;
-    }
-    if (target != null
-        && (!target.sendable || c.attempts.size() >= limits.maxAttempts()
-            || (c.open > 0 && !limits.parallelTries())
-            || now >= c.deadline)) {
+    if (c.ended || (target != null && (!target.sendable || c.attempts.size() >= limits.maxAttempts()
+        || (c.open > 0 && !limits.parallelTries()) || now >= c.deadline))) {
       return false;
     }
-    Settings.RequestClass rules = c.type.rules;
-    if (rules.semantics() == Settings.Semantics.IDEMPOTENT) {
+    if (c.type.rules.semantics() == Settings.Semantics.IDEMPOTENT) {
       return true;
     }
-    for (int i = 0; i < c.attempts.size(); i++) {
-      Attempt a = c.attempts.get(i);
-      if (!a.mayHaveRun) {
-        continue;
-      }
-      if (rules.semantics() == Settings.Semantics.AT_MOST_ONCE
-          || now - a.sentAt >= rules.repeatWindow() - Tuning.WINDOW_MARGIN) {
-        return false;
-      }
-      boolean sameGroup = switch (rules.scope()) {
-            case ALL -> true;
-            case ZONE -> target != null && a.zone != null && a.zone.equals(target.zone);
-            case CELL -> target != null && a.cell == target.cell;
-          };
-      if (!sameGroup) {
+    for (Attempt a : c.attempts) {
+      if (a.mayHaveRun && (now >= a.repeatBy() || !a.sharesMemory(target))) {
         return false;
       }
     }
     return true;
   }
 
+  /** Until when (ms) the next attempt of the call has to be written. */
+  double notAfter(Call c) {
+    return c.attempts.stream().filter(a -> a.mayHaveRun).mapToDouble(Attempt::repeatBy).min()
+        .orElse(Double.POSITIVE_INFINITY);
+  }
+
   Attempt start(Call c, Fleet.Host h, double now) {
     Attempt a = new Attempt(c, c.attempts.size(), h, Double.isInfinite(c.deadline) ? c.deadline : now);
     c.attempts.add(a);
--- a/src/main/java/rillyard/balancer/Balancer.java
+++ b/src/main/java/rillyard/balancer/Balancer.java
@@ -49,10 +49,10 @@
   public void onMembership(double now, News kind, List<HostEntry> entries) {
     fleet.apply(now, kind, entries, random);
     if (kind == News.FAILED && settings.mustFollow() && !followTimer) {
-      // Discovery is scarce: wait longer each time, at chance, but never past what is allowed.
+      // Discovery is scarce: wait longer each time, at chance, but never past what a change allows.
       followTimer = true;
       actions.schedule(followBackoff * (0.5 + random.nextDouble()), FOLLOW_TIMER);
-      followBackoff = Math.min(2 * followBackoff, Math.max(1, settings.rules().askWithin() / 2));
+      followBackoff = Math.min(2 * followBackoff, Tuning.FOLLOW_MOST);
     } else if (kind == News.DELTA || kind == News.FULL) {
       followBackoff = Tuning.FOLLOW_BACKOFF;
     }
@@ -101,8 +101,7 @@
   /** A class that the settings do not name: taken for the strictest kind. */
   private static Attempts.ClassState unknown(String name, Arrival a) {
     double budget = Math.max(1, a.budget());
-    return new Attempts.ClassState(
-        new Settings.RequestClass(
+    return new Attempts.ClassState(new Settings.RequestClass(
             name, budget, budget, Settings.Semantics.AT_MOST_ONCE, Settings.Scope.ALL, 0, 1, 0));
   }
 
@@ -224,9 +223,10 @@
   private void send(Attempts.Call c, Fleet.Host h, double now) {
     boolean told = now - h.reportAt <= Tuning.REPORT_FRESH;
     double held = told ? h.report.held() + h.sentSinceReport : Double.NaN;
+    double notAfter = attempts.notAfter(c);
     attempts.start(c, h, now).heldBefore = held;
     admission.inFlight(now, 1);
-    actions.send(c.id, h.id, 0);
+    actions.send(c.id, h.id, 0, notAfter);
     double due = c.type.overdueAfter() * Math.max(1, fleet.slowness(h, now));
     if (c.type.repeatable() && now + due < c.deadline && c.attempts.size() < 3) {
       actions.schedule(due, c.id);
--- a/src/main/java/rillyard/balancer/Tuning.java
+++ b/src/main/java/rillyard/balancer/Tuning.java
@@ -150,6 +150,7 @@
   /** A report younger than this (ms) tells what the host held when a request was sent to it. */
   static final double REPORT_FRESH = 20;
 
-  /** First wait (ms) before discovery is asked again, doubled up to half of the time allowed. */
+  /** First wait (ms) before discovery is asked again, doubled up to the most, both at chance by half. */
   static final double FOLLOW_BACKOFF = 500;
+  static final double FOLLOW_MOST = 1_400; // with the connect and the answer's time under the 6 s of a change
 }
--- a/src/main/java/rillyard/proxy/Attempt.java
+++ b/src/main/java/rillyard/proxy/Attempt.java
@@ -29,7 +29,9 @@
   private final int number;
   private double sentAt;
   private final Runnable resume = this::resumeReading;
+  private double notAfter = Double.POSITIVE_INFINITY;
   private Future<?> giveUp;
+  private Future<?> tooLate;
   private LoadReport report;
   private HttpResponse head;
   private Body body;
@@ -47,8 +49,16 @@
     this.sentAt = sentAt;
   }
 
-  /** Starts it; {@code giveUpAfter} 0 leaves the request's own deadline as its only one. */
-  void start(double giveUpAfter) {
+  /**
+   * Starts it; {@code giveUpAfter} 0 leaves the request's own deadline as its only one. Past {@code notAfter}
+   * it is not written any more. Guards against a repeat that waits for its connection until hosts have
+   * forgotten the key of the request that it repeats.
+   */
+  void start(double giveUpAfter, double notAfter) {
+    this.notAfter = notAfter;
+    if (notAfter < Double.POSITIVE_INFINITY) {
+      tooLate = dispatcher.later(notAfter - dispatcher.now(), this::notWritten);
+    }
     if (giveUpAfter > 0) {
       giveUp = dispatcher.later(giveUpAfter, this::timeUp);
     }
@@ -63,6 +73,17 @@
     return number;
   }
 
+  private void notWritten() {
+    if (!mayHaveRun()) {
+      finish(Result.MOOT);
+    }
+  }
+
+  @Override
+  boolean mayBegin() {
+    return exchange.mayBegin(notAfter);
+  }
+
   @Override
   ChannelFuture write(Channel channel) {
     return exchange.writeTo(channel);
@@ -185,9 +206,7 @@
     }
     streams = true;
     over = true;
-    if (giveUp != null) {
-      giveUp.cancel(false);
-    }
+    endTimers();
     dispatcher.budget().forget(resume);
     if (body != null) {
       Body first = body;
@@ -243,9 +262,7 @@
       return;
     }
     over = true;
-    if (giveUp != null) {
-      giveUp.cancel(false);
-    }
+    endTimers();
     dispatcher.budget().forget(resume);
     if (body != null) {
       body.free();
@@ -258,6 +275,15 @@
     exchange.attemptEnded(this, result, dispatcher.now() - sentAt, report);
   }
 
+  private void endTimers() {
+    if (giveUp != null) {
+      giveUp.cancel(false);
+    }
+    if (tooLate != null) {
+      tooLate.cancel(false);
+    }
+  }
+
   private String describe(Result result) {
     String got =
         head != null
--- a/src/main/java/rillyard/proxy/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/ClientConnection.java
@@ -1,6 +1,7 @@
 package rillyard.proxy;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -45,11 +46,52 @@
 
     private boolean deaf;
     private int discarded;
+    private ChannelHandlerContext context;
+    private CompositeByteBuf held;
 
     Decoder() {
       super(Upstreams.DECODER);
     }
 
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+      context = ctx;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+      dropHeld();
+      super.channelInactive(ctx);
+    }
+
+    /** From here on what is read is held as it came, up to a bound: only the connection's end is looked for. */
+    void hold() {
+      if (held == null) {
+        held = context.alloc().compositeBuffer(HELD_PARTS);
+      }
+    }
+
+    /** Goes on with what was held. */
+    void letGo() {
+      CompositeByteBuf all = held;
+      held = null;
+      if (all == null || deaf) {
+        ReferenceCountUtil.release(all);
+        return;
+      }
+      try {
+        super.channelRead(context, all);
+        super.channelReadComplete(context);
+      } catch (Exception e) {
+        context.fireExceptionCaught(e);
+      }
+    }
+
+    private void dropHeld() {
+      ReferenceCountUtil.release(held);
+      held = null;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) throws Exception {
       receiving = true;
@@ -63,11 +105,19 @@
         }
         return;
       }
-      super.channelRead(ctx, ((QuietChannel) ctx.channel()).behindHeld((ByteBuf) msg));
+      ByteBuf read = ((QuietChannel) ctx.channel()).behindHeld((ByteBuf) msg);
+      if (held != null) {
+        held.addComponent(true, read);
+        if (held.readableBytes() >= HELD_BYTES) {
+          ctx.channel().config().setAutoRead(false);
+        }
+        return;
+      }
+      super.channelRead(ctx, read);
     }
 
     boolean surplus() {
-      return actualReadableBytes() > 0;
+      return actualReadableBytes() > 0 || (held != null && held.isReadable());
     }
 
     /** Guards against a request hidden in the body of another (RFC 9112, 6.1). */
@@ -77,6 +127,11 @@
     }
   }
 
+  /** Bytes sent ahead of their time past which no more is read, so that the end behind them is not seen. */
+  private static final int HELD_BYTES = 32 * 1024;
+
+  private static final int HELD_PARTS = 64;
+
   /** The longest time (ms) a client may ask for; longer ones are cut to it. */
   private static final double MAX_TIMEOUT_MS = 600_000;
 
@@ -180,7 +235,11 @@
     if (!(cause instanceof IOException)) {
       front.log().failure("a client's connection failed", cause);
       if (exchange != null) {
+        closing = true; // its answer is to arrive
         exchange.failUnasked();
+        if (exchange == null) {
+          return;
+        }
       }
     }
     channel.close();
@@ -191,9 +250,10 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object msg) {
     if (exchange != null && upload == null && !rejected) {
-      // Sent ahead of its time: it waits for the answer before it, and nothing more is read.
+      // Sent ahead of its time: it waits for the answer before it. What follows is read all the same, as
+      // the end of the connection lies behind it, after which nothing may be begun for this client.
       ahead.add((HttpObject) msg);
-      channel.config().setAutoRead(false);
+      decoder.hold();
       return;
     }
     try {
@@ -670,7 +730,8 @@
       writingSince = System.nanoTime();
       written.addListener(f -> writingSince = 0);
     }
-    if (!ahead.isEmpty()) {
+    receivingSince = 0; // what came meanwhile had to wait, by no fault of its client's
+    if (!ahead.isEmpty() || decoder.held != null) {
       takeAhead();
     } else if (!decoder.receiving && !skipping) {
       idleAgain();
@@ -691,8 +752,18 @@
         ReferenceCountUtil.release(part);
       }
     }
-    if (ahead.isEmpty() && !paused) {
-      channel.config().setAutoRead(true);
+    if (exchange == null && ahead.isEmpty() && decoder.held != null) {
+      // Not at once: guards against a decoder that is entered again while it is at work.
+      channel.eventLoop().execute(this::takeHeld);
+    }
+  }
+
+  private void takeHeld() {
+    if (exchange == null && ahead.isEmpty()) {
+      if (!paused) {
+        channel.config().setAutoRead(true);
+      }
+      decoder.letGo();
     }
   }
 
@@ -714,18 +785,21 @@
   }
 
   /**
-   * Closes after an answer. Guards against a reset that overtakes it: a close while bytes are
-   * unread would be one, so the sending ends first and what still comes is thrown away.
+   * Lingering close. Guards against a reset that overtakes an answer: a close while bytes are unread would be
+   * one, so the sending ends first, and what still comes is read and thrown away. A request among it is sent
+   * nowhere: its client sees the end before any answer, and asks again elsewhere.
    */
   private void linger() {
+    closing = true;
     rejected = true;
     decoder.deaf = true;
     if (!channel.isActive()) {
       return;
     }
+    front.sockets().clientIdle(this, false);
     channel.shutdownOutput();
     channel.config().setAutoRead(true);
-    channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+    channel.eventLoop().schedule(channel::endSending, LINGER_MS, TimeUnit.MILLISECONDS);
   }
 
   // --- upkeep
@@ -735,13 +809,31 @@
     return exchange != null || skipping || decoder.receiving || writingSince != 0 || closing;
   }
 
+  /** Makes room at once. */
   @Override
   public void closeIdle() {
-    if (channel.ended() || !channel.holding()) {
+    if (!taken()) {
+      rejected = true;
+      decoder.deaf = true;
+      channel.endSending();
+    }
+  }
+
+  /** Ends it unless a request has come in this moment. */
+  void endIdle() {
+    if (!taken()) {
+      linger();
+    }
+  }
+
+  /** Whether something has come that is not read yet, or the client has ended it. */
+  private boolean taken() {
+    if (channel.ended()) {
       channel.close();
-    } else {
-      decoder.receiving = true; // a request has come in this moment: it is taken
+      return true;
     }
+    decoder.receiving |= channel.holding();
+    return channel.holding();
   }
 
   void sweep(long now) {
@@ -762,7 +854,7 @@
       channel.close();
     } else if (!busy() && now - idleSince > IDLE_NANOS) {
       // Guards against connections that are kept for good and asked nothing: each holds a descriptor.
-      closeIdle();
+      endIdle();
     }
   }
 
--- a/src/main/java/rillyard/proxy/Discovery.java
+++ b/src/main/java/rillyard/proxy/Discovery.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -28,7 +27,6 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.Arrays;
 import java.util.List;
 import rillyard.adapter.JsonTree;
 import rillyard.balancer.News;
@@ -39,18 +37,27 @@
  * break loses no change.
  */
 final class Discovery {
+  /*
+   * What a watch misses counts as told 6 s after it fell silent, or after a call for it went wrong. In the
+   * worst case one is found silent, is opened anew after a wait of this class or the module's, and has its
+   * answer: within that time, sweeps of 250 ms and a connect that takes all of its own included.
+   */
+
   private static final int CONNECT_TIMEOUT_MS = 1_000;
 
-  /** A watch says something every 2 s; one silent for longer than this (ns) is broken. */
-  private static final long SILENCE_NANOS = 5_000_000_000L;
+  /** A watch says something whole every 2 s; one that has not for longer than this (ns) is broken. */
+  private static final long SILENCE_NANOS = 2_800_000_000L;
 
-  /** First wait (ms) before a broken watch is opened anew, doubled up to the last. */
-  private static final long BACKOFF_MS = 50;
+  /** How long (ns) a call may go without an answer: asked discovery has it wait 2 s at most. */
+  private static final long UNANSWERED_NANOS = 2_400_000_000L;
 
-  private static final long BACKOFF_MAX_MS = 1_000;
+  /**
+   * First wait (ms) before a broken watch is opened anew where lists are pushed, doubled up to the last. Its
+   * agent is on this machine and asks no price, and what it has counts as told from its return on.
+   */
+  private static final long BACKOFF_MS = 50;
 
-  /** A longer line is no list of hosts. */
-  private static final int MAX_LINE = 4 << 20;
+  private static final long BACKOFF_MAX_MS = 250;
 
   private final Dispatcher dispatcher;
   private final Log log;
@@ -73,6 +80,7 @@
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .option(ChannelOption.TCP_NODELAY, true)
             .handler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
@@ -148,7 +156,7 @@
 
   /** Ends a watch that has gone silent. */
   void sweep() {
-    if (watch != null && System.nanoTime() - watch.heardAt > SILENCE_NANOS) {
+    if (watch != null && System.nanoTime() - watch.heardAt > (watch.good ? SILENCE_NANOS : UNANSWERED_NANOS)) {
       watch.broken("silent");
     }
   }
@@ -163,10 +171,9 @@
     reopening = dispatcher.later(wait, this::open);
   }
 
-  private final class Watch extends ChannelInboundHandlerAdapter {
+  private final class Watch extends ChannelInboundHandlerAdapter implements ListFrames.Sink {
     private final Channel channel;
-    private byte[] line = new byte[4_096];
-    private int size;
+    private final ListFrames frames = new ListFrames();
     private long heardAt = System.nanoTime();
     private boolean good;
 
@@ -213,62 +220,51 @@
     }
 
     private void take(HttpObject part) {
-      heardAt = System.nanoTime();
       if (part.decoderResult().isFailure()) {
         broken("malformed answer");
       } else if (part instanceof HttpResponse head && head.status().code() != 200) {
         broken("answered " + head.status().code());
       } else if (part instanceof HttpContent content) {
-        lines(content.content());
+        String wrong = frames.take(content.content(), this);
+        if (wrong != null && watch == this) {
+          malformed(wrong);
+        }
         if (part instanceof LastHttpContent && watch == this) {
           broken("ended");
         }
       }
     }
 
-    private void lines(ByteBuf bytes) {
-      while (bytes.isReadable() && watch == this) {
-        int end = bytes.bytesBefore((byte) '\n');
-        int n = end < 0 ? bytes.readableBytes() : end;
-        if (size + n > MAX_LINE) {
-          broken("a line without an end");
-          return;
-        }
-        if (size + n > line.length) {
-          line = Arrays.copyOf(line, Math.max(2 * line.length, size + n));
-        }
-        bytes.readBytes(line, size, n);
-        size += n;
-        if (end >= 0) {
-          bytes.skipBytes(1);
-          int length = size;
-          size = 0;
-          line(length);
-        }
+    /** The watch lives: guards against one whose bytes come for ever and are never whole. */
+    @Override
+    public void blank() {
+      heardAt = System.nanoTime();
+      if (!good) {
+        good = true;
+        backoff = BACKOFF_MS;
       }
     }
 
-    private void line(int length) {
-      boolean blank = true;
-      for (int i = 0; i < length && blank; i++) {
-        blank = line[i] <= ' ' && line[i] >= 0;
-      }
-      if (!blank) {
-        Hosts.News news;
-        try {
-          news = dispatcher.hosts().read(JsonTree.read(line, 0, length));
-        } catch (IOException | IllegalArgumentException e) {
-          // The last good list stays; what the line was to tell comes again from its version on.
-          log.line("watch: malformed line, " + ++malformed + " so far: " + e.getMessage());
-          broken("can't be understood");
-          return;
-        }
-        apply(news);
+    @Override
+    public void list(byte[] bytes, int length) {
+      if (watch != this) {
+        return; // broken by one before it, which came with it
       }
-      if (!good) {
-        good = true;
-        backoff = BACKOFF_MS;
+      Hosts.News news;
+      try {
+        news = dispatcher.hosts().read(JsonTree.read(bytes, 0, length));
+      } catch (IOException | IllegalArgumentException e) {
+        malformed(e.getMessage());
+        return;
       }
+      apply(news);
+      blank();
+    }
+
+    /** The last good list stays; what this one was to tell comes again from its version on. */
+    private void malformed(String why) {
+      log.line("watch: malformed list, " + ++malformed + " so far: " + why);
+      broken("can't be understood");
     }
 
     private void apply(Hosts.News news) {
--- a/src/main/java/rillyard/proxy/Dispatcher.java
+++ b/src/main/java/rillyard/proxy/Dispatcher.java
@@ -100,6 +100,11 @@
     }
   }
 
+  /** Fails all that has no answer yet: the process ends. */
+  void failAll() {
+    new ArrayList<>(exchanges.values()).forEach(Exchange::failUnasked);
+  }
+
   /** Runs something on the loop after so many ms. */
   Future<?> later(double delay, Runnable what) {
     return loop.schedule(what, Math.max(0, (long) (delay * 1e6)), TimeUnit.NANOSECONDS);
@@ -339,11 +344,11 @@
   // --- actions
 
   @Override
-  public void send(long request, long host, double giveUpAfter) {
+  public void send(long request, long host, double giveUpAfter, double notAfter) {
     Exchange e = exchanges.get(request);
     Host h = hosts.get(host);
     if (e != null && h != null) {
-      e.send(h, giveUpAfter);
+      e.send(h, giveUpAfter, notAfter);
     } else {
       throw new IllegalStateException("send of " + request + " to " + host + ": not known");
     }
--- a/src/main/java/rillyard/proxy/Exchange.java
+++ b/src/main/java/rillyard/proxy/Exchange.java
@@ -137,7 +137,13 @@
 
   // --- attempts
 
-  void send(Host host, double giveUpAfter) {
+  /** Whether an attempt may be written now that must not be so past {@code notAfter} (ms). */
+  boolean mayBegin(double notAfter) {
+    double now = dispatcher.now();
+    return !answered && now < notAfter && now < deadlineAt;
+  }
+
+  void send(Host host, double giveUpAfter, double notAfter) {
     Attempt a = new Attempt(this, dispatcher, host, attempts.size(), dispatcher.now());
     attempts.add(a);
     open++;
@@ -149,7 +155,7 @@
         || dispatcher.now() >= deadlineAt) {
       a.moot();
     } else {
-      a.start(giveUpAfter);
+      a.start(giveUpAfter, notAfter);
     }
   }
 
@@ -299,10 +305,12 @@
     }
     over();
     dispatcher.clientGone(this);
-    if (uploads()) {
-      // What was to follow never comes: no host waits for it, whether or not attempts may be called off.
-      for (int i = 0; i < attempts.size(); i++) {
-        attempts.get(i).cancel();
+    // Whether or not attempts may be called off, none begins for a client that has gone: its connection may
+    // come up later. And what was to follow of an upload never comes: no host waits for it.
+    for (int i = 0; i < attempts.size(); i++) {
+      Attempt a = attempts.get(i);
+      if (uploads() || !a.mayHaveRun()) {
+        a.cancel();
       }
     }
     forgetIfDone();
--- a/src/main/java/rillyard/proxy/Front.java
+++ b/src/main/java/rillyard/proxy/Front.java
@@ -129,7 +129,7 @@
     readyAsOfLate = false;
     for (ClientConnection c : new ArrayList<>(connections)) {
       if (!c.busy()) {
-        c.closeIdle();
+        c.endIdle();
       }
     }
   }
--- a/src/main/java/rillyard/proxy/Proxy.java
+++ b/src/main/java/rillyard/proxy/Proxy.java
@@ -40,6 +40,9 @@
   /** The longest warm-up (ms): a slow core gets a half-warm proxy in time. */
   private static final long WARM_UP_MS = 2_000;
 
+  /** So long (ms) before the end of its time a drain fails what it still holds, so that the answers get out. */
+  private static final long TELL_MS = 100;
+
   private static final long POLL_MS = 10;
 
   private final Config config;
@@ -233,6 +236,16 @@
     return front.open();
   }
 
+  /** Requests that are not over, or whose attempts are not; to be asked on the loop. */
+  int requests() {
+    return dispatcher.open();
+  }
+
+  /** Connections to hosts that are open or come up; to be asked on the loop. */
+  int hostConnections() {
+    return front.sockets().upstreams();
+  }
+
   Figures figures() {
     return dispatcher.figures();
   }
@@ -287,6 +300,10 @@
       // far, in the moment in which the process ends: its client is told first that it is over.
       front.drain();
     }
+    if (now >= drainUntil - TELL_MS * 1_000_000) {
+      // Guards against requests that came late in the drain and end unanswered with the process.
+      dispatcher.failAll();
+    }
     boolean done = now >= acceptUntil && !front.busy();
     if (done) {
       // Guards against the same of connections that came while this process stood still, and wait unaccepted.
--- a/src/main/java/rillyard/proxy/QuietChannel.java
+++ b/src/main/java/rillyard/proxy/QuietChannel.java
@@ -46,6 +46,9 @@
     }
   }
 
+  /** Bytes that are taken out of a socket before it is closed at once. */
+  private static final int TAKEN_OUT = 64 * 1024;
+
   private final ByteBuffer one = ByteBuffer.allocate(1);
   private boolean holding;
 
@@ -104,6 +107,29 @@
     return Unpooled.wrappedBuffer(Unpooled.copiedBuffer(one.flip()), read);
   }
 
+  /**
+   * Ends the sending, takes out what has come, and closes. Guards against a close over unread bytes: it would
+   * be a reset, which takes what was sent before with it, and tells the other side nothing of it.
+   */
+  void endSending() {
+    if (isActive()) {
+      shutdownOutput();
+      takeOut();
+    }
+    close();
+  }
+
+  private void takeOut() {
+    ByteBuffer scratch = ByteBuffer.allocate(4_096);
+    try {
+      for (int i = 0; i < TAKEN_OUT / scratch.capacity() && javaChannel().read(scratch.clear()) > 0; i++) {
+        continue;
+      }
+    } catch (IOException e) {
+      // the other side has ended it by a reset
+    }
+  }
+
   private int peek() {
     try {
       one.clear();
--- a/src/main/java/rillyard/proxy/Sockets.java
+++ b/src/main/java/rillyard/proxy/Sockets.java
@@ -87,6 +87,11 @@
     return clients + upstreams >= limit;
   }
 
+  /** Connections to hosts that are open or come up. */
+  int upstreams() {
+    return upstreams;
+  }
+
   void clientOpened() {
     clients++;
   }
--- a/src/main/java/rillyard/proxy/UpstreamCall.java
+++ b/src/main/java/rillyard/proxy/UpstreamCall.java
@@ -19,6 +19,11 @@
     host.calls++; // until Upstreams.end
   }
 
+  /** Whether it may still be written; asked once a connection has come up, which may be late. */
+  boolean mayBegin() {
+    return true;
+  }
+
   /** Writes all of it; the future is that of the last byte. */
   abstract ChannelFuture write(Channel channel);
 
--- a/src/main/java/rillyard/proxy/Upstreams.java
+++ b/src/main/java/rillyard/proxy/Upstreams.java
@@ -122,6 +122,9 @@
             channel.close(); // given up meanwhile
           } else if (!f.isSuccess()) {
             call.notSent();
+          } else if (!call.mayBegin()) {
+            channel.close();
+            call.moot();
           } else {
             channel.pipeline().addLast(decoder, new HttpRequestEncoder(), c);
             c.run(call);
