--- a/src/main/java/rillyard/proxy/Discovery.java
+++ b/src/main/java/rillyard/proxy/Discovery.java
@@ -43,13 +43,13 @@
    * answer: within that time, sweeps of 250 ms and a connect that takes all of its own included.
    */
 
-  private static final int CONNECT_TIMEOUT_MS = 1_000;
+  static final int CONNECT_TIMEOUT_MS = 1_000;
 
   /** A watch says something whole every 2 s; one that has not for longer than this (ns) is broken. */
-  private static final long SILENCE_NANOS = 2_800_000_000L;
+  static final long SILENCE_NANOS = 2_800_000_000L;
 
   /** How long (ns) a call may go without an answer: asked discovery has it wait 2 s at most. */
-  private static final long UNANSWERED_NANOS = 2_400_000_000L;
+  static final long UNANSWERED_NANOS = 2_400_000_000L;
 
   /**
    * First wait (ms) before a broken watch is opened anew where lists are pushed, doubled up to the last. Its
--- a/src/test/java/rillyard/proxy/DiscoveryTest.java
+++ b/src/test/java/rillyard/proxy/DiscoveryTest.java
@@ -65,6 +65,52 @@
     }
   }
 
+  @Test
+  void indentedListIsOneList() throws Exception {
+    try (ScriptedServer host = ScriptedServer.host(r -> ScriptedServer.ok("x"));
+        Rig rig = new Rig()) {
+      String list =
+          new com.fasterxml.jackson.databind.ObjectMapper()
+              .readTree(Rig.list(2, true, Rig.server("a", host.port())))
+              .toPrettyString();
+      assertThat(list).contains("\n");
+      rig.news.add(list + "\n");
+      rig.news.add("");
+      watch(rig);
+      assertThat(watch(rig)).contains("since=2 ");
+      assertThat(rig.call(claim()).status()).isEqualTo(200);
+    }
+  }
+
+  /** What never gets whole is no sign of life, however long bytes of it come. */
+  @Test
+  void endlessListIsSilence() throws Exception {
+    try (Rig rig = new Rig()) {
+      assertThat(watch(rig)).isNotNull();
+      rig.news.add("{\"version\":2,\"servers\":[");
+      String next = null;
+      for (int i = 0; i < 2_000 && next == null; i++) {
+        rig.news.add(" ");
+        next = rig.watches.poll(10, TimeUnit.MILLISECONDS);
+      }
+      assertThat(next).as("a new watch").contains("since=1 ");
+      assertThat(rig.log()).contains("watch: silent");
+    }
+  }
+
+  /** A change counts as told 6 s after discovery had it, and after a silence began: the steps add up. */
+  @Test
+  void theWorstOfEachStepStaysWithinTheTimeOfAChange() {
+    long sweepMs = 250;
+    long longestWaitMs = 2_100; // BalancerTest holds the module to it, and pushed lists wait for less
+    long silenceMs = Discovery.SILENCE_NANOS / 1_000_000;
+    long unansweredMs = Discovery.UNANSWERED_NANOS / 1_000_000;
+    assertThat(longestWaitMs + Discovery.CONNECT_TIMEOUT_MS + unansweredMs + sweepMs).isLessThan(6_000);
+    assertThat(silenceMs + sweepMs + longestWaitMs).isLessThan(6_000);
+    assertThat(silenceMs).as("a watch says something every 2 s").isGreaterThan(2_000);
+    assertThat(unansweredMs).as("asked discovery has a call wait 2 s").isGreaterThan(2_000);
+  }
+
   @Test
   void lineInPiecesIsOneLine() throws Exception {
     try (ScriptedServer host = ScriptedServer.host(r -> ScriptedServer.ok("x"));
--- a/src/test/java/rillyard/proxy/EndingsTest.java
+++ b/src/test/java/rillyard/proxy/EndingsTest.java
@@ -9,8 +9,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** The instants in which something ends while something is still owed; see docs/design/endings.md. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
 class EndingsTest {
   private static final long FAR_NANOS = 20_000_000_000L;
 
@@ -27,6 +29,14 @@
     }
   }
 
+  private static void awaitQuietly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static void awaitRequests(Rig rig, int n) throws Exception {
     await(rig, () -> rig.proxy.requests() == n);
   }
@@ -166,11 +176,17 @@
         Peer client = rig.client()) {
       client.write(Rig.post("claim", 800, "", "first"));
       assertThat(client.read().status()).isEqualTo(200);
+      // The drain ends the sending, and the loop does nothing more until the client has written.
+      CountDownLatch begin = rig.blockLoop();
       rig.proxy.drain();
+      CountDownLatch goOn = new CountDownLatch(1);
+      rig.proxy.loop().execute(() -> awaitQuietly(goOn));
+      begin.countDown();
       assertThat(client.read()).as("the end of the sending").isNull();
-      client.write(Rig.post("claim", 800, "", "late")); // no error: what comes is read, and thrown away
+      client.write(Rig.post("claim", 800, "", "late"));
+      client.write(Rig.post("claim", 800, "", "later")); // fails where the first was answered by a reset
+      goOn.countDown();
       client.socket.shutdownOutput();
-      assertThat(client.read()).isNull();
       rig.proxy.awaitEnd();
       assertThat(host.requests).extracting(Peer.Message::text).containsExactly("first");
     }
