Settings that can't be used stop the start with a line that names file and key

Need: a deadline that is no number, a window that is a list or no attempts at all were replaced by a guess, and the proxy served on it. Change: SettingsCheck tells such values by key, with what was expected and found; what is absent, null or not known stays no fault. A reload with such a file leaves all as it is.

--- a/src/main/java/rillyard/proxy/Config.java
+++ b/src/main/java/rillyard/proxy/Config.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import rillyard.adapter.JsonTree;
 import rillyard.adapter.MalformedInputException;
+import rillyard.adapter.SettingsCheck;
 import rillyard.adapter.SettingsReader;
 import rillyard.balancer.Settings;
 
@@ -55,11 +56,18 @@
     }
     Settings settings;
     try {
+      SettingsCheck.check(root.path("settings"));
       settings = SettingsReader.read(root.path("settings"));
     } catch (MalformedInputException e) {
-      throw new ConfigException(file + ": settings: " + e.getMessage());
+      throw new ConfigException(file + ": " + e.getMessage());
     }
     JsonNode limits = root.path("limits");
+    for (String key : new String[] {"memory_mb", "sockets"}) {
+      JsonNode n = limits.path(key);
+      if (!n.isMissingNode() && !n.isNull() && !(n.canConvertToInt() && n.asInt() > 0)) {
+        throw new ConfigException(file + ": limits." + key + ": expected a whole number above 0, found " + n);
+      }
+    }
     JsonNode allowed = root.path("settings").path("limits");
     return new Config(
         told(env, "BALANCER_NAME", root, "name"),
--- a/src/test/java/rillyard/proxy/JarIT.java
+++ b/src/test/java/rillyard/proxy/JarIT.java
@@ -206,7 +206,8 @@
                   p.awaitEnd();
                 });
         Running proxy = new Running(host)) {
-      for (String file : new String[] {"{", null}) { // one that can't be read, and a good one
+      // One that can't be read, one that can't be used, and a good one.
+      for (String file : new String[] {"{", "{\"settings\":{\"classes\":7}}", null}) {
         if (file == null) {
           Files.move(proxy.newConfig(moved, host), proxy.config, REPLACE_EXISTING);
         } else {
--- a/src/test/java/rillyard/proxy/ScriptedServer.java
+++ b/src/test/java/rillyard/proxy/ScriptedServer.java
@@ -25,7 +25,12 @@
   final BlockingQueue<Peer.Message> requests = new LinkedBlockingQueue<>();
 
   ScriptedServer(Script script) throws IOException {
-    this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    this(0, script);
+  }
+
+  /** On this port; 0 is any that is free. */
+  ScriptedServer(int port, Script script) throws IOException {
+    this.server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
     this.script = script;
     thread(this::accept);
   }
