Tools name their classes list, log and claim: no name of one customer is left in the code

Need: classes, tenants and costs come from the settings alone; the main code is searched for names of one site. Change: defaults of load, stand-in, demo and measure.

--- a/src/main/java/rillyard/demo/WarmUp.java
+++ b/src/main/java/rillyard/demo/WarmUp.java
@@ -24,15 +24,15 @@
       count = 2
       cores = 1000
       [[class]]
-      name = "visit-list"
+      name = "list"
       semantics = "idempotent"
       work = { dist = "constant", mean_ms = 1 }
       [[class]]
-      name = "visit-log"
+      name = "log"
       semantics = "deduplicated"
       work = { dist = "constant", mean_ms = 1 }
       [[class]]
-      name = "visit-claim"
+      name = "claim"
       work = { dist = "constant", mean_ms = 1 }
       """;
 
--- a/src/main/java/rillyard/load/LoadPlanReader.java
+++ b/src/main/java/rillyard/load/LoadPlanReader.java
@@ -147,9 +147,9 @@
 
   private static List<LoadClass> standardClasses() {
     return List.of(
-        new LoadClass("visit-list", 6, LoadClass.Semantics.IDEMPOTENT, 400, 800, 0, 0, 0),
-        new LoadClass("visit-log", 3, LoadClass.Semantics.KEYED, 400, 1_200, 750, 200, 0),
-        new LoadClass("visit-claim", 1, LoadClass.Semantics.AT_MOST_ONCE, 400, 800, 0, 200, 0));
+        new LoadClass("list", 6, LoadClass.Semantics.IDEMPOTENT, 400, 800, 0, 0, 0),
+        new LoadClass("log", 3, LoadClass.Semantics.KEYED, 400, 1_200, 750, 200, 0),
+        new LoadClass("claim", 1, LoadClass.Semantics.AT_MOST_ONCE, 400, 800, 0, 200, 0));
   }
 
   private static List<LoadPlan.Tenant> tenants(TomlTable root) {
--- a/src/main/java/rillyard/measure/Baseline.java
+++ b/src/main/java/rillyard/measure/Baseline.java
@@ -29,15 +29,15 @@
       cores = 2000
       connections = 20000
       [[class]]
-      name = "visit-list"
+      name = "list"
       semantics = "idempotent"
       work = { dist = "constant", mean_ms = 2 }
       [[class]]
-      name = "visit-log"
+      name = "log"
       semantics = "deduplicated"
       work = { dist = "constant", mean_ms = 2 }
       [[class]]
-      name = "visit-claim"
+      name = "claim"
       work = { dist = "constant", mean_ms = 2 }
       """;
 
--- a/src/main/java/rillyard/measure/Starts.java
+++ b/src/main/java/rillyard/measure/Starts.java
@@ -29,11 +29,11 @@
       count = 12
       cores = 200
       [[class]]
-      name = "visit-log"
+      name = "log"
       semantics = "deduplicated"
       work = { dist = "constant", mean_ms = 5 }
       [[class]]
-      name = "visit-claim"
+      name = "claim"
       work = { dist = "constant", mean_ms = 5 }
       """;
 
--- a/src/main/java/rillyard/standin/StandInPlanReader.java
+++ b/src/main/java/rillyard/standin/StandInPlanReader.java
@@ -182,11 +182,11 @@
   private static List<ClassSpec> standardClasses() {
     ServiceTime work = new ServiceTime.Lognormal(12, 0.6);
     return List.of(
-        new ClassSpec("visit-list", ClassSpec.Semantics.IDEMPOTENT, ClassSpec.Scope.ALL,
+        new ClassSpec("list", ClassSpec.Semantics.IDEMPOTENT, ClassSpec.Scope.ALL,
             400, 800, 0, 1, work, 1_024),
-        new ClassSpec("visit-log", ClassSpec.Semantics.DEDUPLICATED, ClassSpec.Scope.CELL,
+        new ClassSpec("log", ClassSpec.Semantics.DEDUPLICATED, ClassSpec.Scope.CELL,
             400, 1_200, 750, 5, work, 128),
-        new ClassSpec("visit-claim", ClassSpec.Semantics.AT_MOST_ONCE, ClassSpec.Scope.ALL,
+        new ClassSpec("claim", ClassSpec.Semantics.AT_MOST_ONCE, ClassSpec.Scope.ALL,
             400, 800, 0, 8, work, 128));
   }
 
