A client's reset, and a request behind a connection's last answer, are forced by tests

Need: each row of docs/design/endings.md has a test that forces its crossing; these two had none, or one of their end only. Change: two tests in EndingsTest. Left without one: a handler that throws, and a second answer that comes between the look at a connection and the write to it.

--- a/src/test/java/rillyard/proxy/EndingsTest.java
+++ b/src/test/java/rillyard/proxy/EndingsTest.java
@@ -140,6 +140,41 @@
     }
   }
 
+  @Test
+  void aResetOfTheClientsEndsItsAttempt() throws Exception {
+    CountDownLatch ended = new CountDownLatch(1);
+    ScriptedServer host =
+        new ScriptedServer(
+            p -> {
+              p.read();
+              p.awaitEnd();
+              ended.countDown();
+            });
+    try (host;
+        Rig rig = new Rig(Rig.server("a", host.port()));
+        Peer client = rig.client()) {
+      client.write(Rig.post("claim", 600_000, "", "x"));
+      host.accepted();
+      client.reset();
+      ended.await();
+      awaitRequests(rig, 0);
+    }
+  }
+
+  @Test
+  void aRequestBehindTheLastAnswerOfAConnectionIsSentNowhere() throws Exception {
+    try (ScriptedServer host = ScriptedServer.host(r -> ScriptedServer.ok(r.text()));
+        Rig rig = new Rig(Rig.server("a", host.port()));
+        Peer client = rig.client()) {
+      client.write(Rig.post("claim", 20_000, "Connection: close\r\n", "last")
+          + Rig.post("claim", 20_000, "", "behind"));
+      assertThat(client.read().text()).isEqualTo("last");
+      assertThat(client.read()).isNull();
+      await(rig, () -> rig.proxy.clients() == 0);
+      assertThat(host.requests).extracting(Peer.Message::text).containsExactly("last");
+    }
+  }
+
   @Test
   void manyRequestsSentAheadAreAnsweredInOrderHoweverTheyAreCut() throws Exception {
     try (ScriptedServer host = ScriptedServer.host(r -> ScriptedServer.ok(r.text()));
