--- a/src/main/java/rillyard/proxy/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/ClientConnection.java
@@ -1,7 +1,6 @@
 package rillyard.proxy;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -13,11 +12,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -25,12 +22,10 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
-import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.util.ArrayDeque;
-import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import rillyard.balancer.Arrival;
@@ -39,105 +34,6 @@
 
 /** A connection of the application's: reads its requests one by one and writes their answers. */
 final class ClientConnection extends ChannelInboundHandlerAdapter implements Sockets.Idle {
-  /** Tells whether part of a request has come. */
-  static final class Decoder extends HttpRequestDecoder {
-    private boolean receiving;
-    private long readAt;
-
-    private boolean deaf;
-    private int discarded;
-    private ChannelHandlerContext context;
-    private CompositeByteBuf held;
-
-    Decoder() {
-      super(Upstreams.DECODER);
-    }
-
-    @Override
-    public void handlerAdded(ChannelHandlerContext ctx) {
-      context = ctx;
-    }
-
-    @Override
-    public void channelInactive(ChannelHandlerContext ctx) throws Exception {
-      dropHeld();
-      super.channelInactive(ctx);
-    }
-
-    /** From here on what is read is held as it came, up to a bound: only the connection's end is looked for. */
-    void hold() {
-      if (held == null) {
-        held = context.alloc().compositeBuffer(HELD_PARTS);
-      }
-    }
-
-    /** Goes on with what was held. */
-    void letGo() {
-      CompositeByteBuf all = held;
-      held = null;
-      if (all == null || deaf) {
-        ReferenceCountUtil.release(all);
-        return;
-      }
-      try {
-        super.channelRead(context, all);
-        super.channelReadComplete(context);
-      } catch (Exception e) {
-        context.fireExceptionCaught(e);
-      }
-    }
-
-    private void dropHeld() {
-      ReferenceCountUtil.release(held);
-      held = null;
-    }
-
-    @Override
-    public void channelRead(ChannelHandlerContext ctx, Object msg) throws Exception {
-      receiving = true;
-      readAt = System.nanoTime();
-      if (deaf) {
-        // Guards against the work of taking apart, at full speed, what nobody will look at.
-        discarded += ((ByteBuf) msg).readableBytes();
-        ReferenceCountUtil.release(msg);
-        if (discarded > DISCARD_BYTES) {
-          ctx.close();
-        }
-        return;
-      }
-      ByteBuf read = ((QuietChannel) ctx.channel()).behindHeld((ByteBuf) msg);
-      if (held != null) {
-        held.addComponent(true, read);
-        if (held.readableBytes() >= HELD_BYTES) {
-          ctx.channel().config().setAutoRead(false);
-        }
-        return;
-      }
-      super.channelRead(ctx, read);
-    }
-
-    boolean surplus() {
-      return actualReadableBytes() > 0 || (held != null && held.isReadable());
-    }
-
-    /** Guards against a request hidden in the body of another (RFC 9112, 6.1). */
-    @Override
-    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-      throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
-    }
-  }
-
-  /** Bytes sent ahead of their time past which no more is read, so that the end behind them is not seen. */
-  private static final int HELD_BYTES = 32 * 1024;
-
-  private static final int HELD_PARTS = 64;
-
-  /** The longest time (ms) a client may ask for; longer ones are cut to it. */
-  private static final double MAX_TIMEOUT_MS = 600_000;
-
-  /** Longest run of digits in a deadline, for it to be at most {@link #MAX_TIMEOUT_MS}. */
-  private static final int TIMEOUT_DIGITS = 6;
-
   /** How long (ns) a head may take, of which clients are allowed 2 s. */
   private static final long SLOW_NANOS = 2_300_000_000L;
 
@@ -165,11 +61,6 @@
   /** How long (ms) the rest of a rejected message is read, so that the client sees its answer. */
   private static final long LINGER_MS = 500;
 
-  /** The most that is read of such a rest. */
-  private static final int DISCARD_BYTES = 256 * 1024;
-
-  private static final int MAX_NAME = 128;
-
   /** The longest (ms) that a request waits for memory, and no longer than half of its time. */
   private static final double MAX_PAUSE_MS = 400;
 
@@ -178,7 +69,7 @@
 
   private final Front front;
   private final QuietChannel channel;
-  private final Decoder decoder;
+  private final ClientDecoder decoder;
   private final boolean overflow;
   private final Runnable resume = this::resumeReading;
   private final ArrayDeque<HttpObject> ahead = new ArrayDeque<>(0);
@@ -204,7 +95,7 @@
   private boolean used;
 
   /** {@code overflow} marks a connection beyond what is allowed: its request is refused. */
-  ClientConnection(Front front, QuietChannel channel, Decoder decoder, boolean overflow) {
+  ClientConnection(Front front, QuietChannel channel, ClientDecoder decoder, boolean overflow) {
     this.front = front;
     this.channel = channel;
     this.decoder = decoder;
@@ -317,7 +208,7 @@
     head = request;
     received = 0;
     closing = !HttpUtil.isKeepAlive(request);
-    toOriginForm(request);
+    RequestForm.toOriginForm(request);
     health = request.uri().equals("/_health");
     HttpMethod method = request.method();
     if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
@@ -343,21 +234,21 @@
    */
   private void check(HttpRequest request) {
     HttpHeaders h = request.headers();
-    String id = single(h, Headers.REQUEST_ID);
-    String named = single(h, Headers.CLASS);
-    type = named == null ? pathClass(request.uri()) : named;
+    String id = RequestForm.single(h, Headers.REQUEST_ID);
+    String named = RequestForm.single(h, Headers.CLASS);
+    type = named == null ? RequestForm.pathClass(request.uri()) : named;
     Settings.RequestClass c = front.type(type);
     if (id == null
         || id.isBlank()
-        || single(h, HttpHeaderNames.HOST) == null
-        || !onceAtMost(h, Headers.CLASS, Headers.TIMEOUT_MS, Headers.IDEMPOTENCY_KEY)) {
+        || RequestForm.single(h, HttpHeaderNames.HOST) == null
+        || !RequestForm.onceAtMost(h, Headers.CLASS, Headers.TIMEOUT_MS, Headers.IDEMPOTENCY_KEY)) {
       reject(400);
-    } else if (c == null || !type.equals(pathClass(request.uri()))) {
+    } else if (c == null || !type.equals(RequestForm.pathClass(request.uri()))) {
       reject(404);
-    } else if (!fits(c, request)) {
+    } else if (!RequestForm.fits(c, request)) {
       reject(400);
     } else {
-      timeout = timeout(h.get(Headers.TIMEOUT_MS), c);
+      timeout = RequestForm.timeout(h.get(Headers.TIMEOUT_MS), c);
       if (Double.isNaN(timeout)) {
         reject(400);
       } else if (front.dispatcher().known(id)) {
@@ -366,77 +257,6 @@
     }
   }
 
-  /** A header's value where it is there once and of a sane length, else null. */
-  private static String single(HttpHeaders h, AsciiString name) {
-    List<String> all = h.getAll(name);
-    return all.size() == 1 && all.get(0).length() <= MAX_NAME ? all.get(0) : null;
-  }
-
-  private static boolean onceAtMost(HttpHeaders h, AsciiString... names) {
-    for (AsciiString name : names) {
-      if (h.contains(name) && single(h, name) == null) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  /** The wait a client states, NaN if it is no number. Without one it is that of the class. */
-  private static double timeout(String s, Settings.RequestClass c) {
-    if (s == null) {
-      return c.deadline();
-    }
-    if (s.isEmpty() || s.length() > TIMEOUT_DIGITS) {
-      return Double.NaN;
-    }
-    for (int i = 0; i < s.length(); i++) {
-      if (s.charAt(i) < '0' || s.charAt(i) > '9') {
-        return Double.NaN;
-      }
-    }
-    return Math.min(Integer.parseInt(s), MAX_TIMEOUT_MS);
-  }
-
-  /** The first part of a path, empty where there is none. */
-  private static String pathClass(String uri) {
-    if (!uri.startsWith("/")) {
-      return "";
-    }
-    int to = 1;
-    while (to < uri.length() && uri.charAt(to) != '/' && uri.charAt(to) != '?') {
-      to++;
-    }
-    return uri.substring(1, to);
-  }
-
-  /** Whether a request has the form that its class asks for, and so may be repeated as it may. */
-  private static boolean fits(Settings.RequestClass c, HttpRequest request) {
-    boolean post = request.method().equals(HttpMethod.POST);
-    return switch (c.semantics()) {
-      case IDEMPOTENT ->
-          !post
-              && HttpUtil.getContentLength(request, 0L) == 0
-              && !HttpUtil.isTransferEncodingChunked(request);
-      case DEDUPLICATED ->
-          post && !request.headers().get(Headers.IDEMPOTENCY_KEY, "").isBlank();
-      case AT_MOST_ONCE -> post;
-    };
-  }
-
-  /** RFC 9112, 3.2.2: a target in absolute form names the host; it goes on in origin form. */
-  private static void toOriginForm(HttpRequest request) {
-    String uri = request.uri();
-    if (uri.regionMatches(true, 0, "http://", 0, 7) && request.headers().contains(HttpHeaderNames.HOST)) {
-      int path = 7;
-      while (path < uri.length() && uri.charAt(path) != '/' && uri.charAt(path) != '?') {
-        path++;
-      }
-      request.headers().set(HttpHeaderNames.HOST, uri.substring(7, path));
-      String rest = uri.substring(path);
-      request.setUri(rest.startsWith("/") ? rest : "/" + rest);
-    }
-  }
-
   private void append(ByteBuf bytes) {
     received += bytes.readableBytes();
     if (received > Body.MAX || (health && received > Body.HELD)) {
@@ -544,7 +364,7 @@
         type,
         h.get(Headers.TENANT),
         budget,
-        estimate(h.get(Headers.COST)),
+        RequestForm.estimate(h.get(Headers.COST)),
         "1".equals(h.get(Headers.RETRIED)));
   }
 
@@ -609,16 +429,6 @@
     return Math.max(paused, now - channel.waitingSince());
   }
 
-  /** The work expected, which clients state in microseconds and the module takes in ms. */
-  private static double estimate(String s) {
-    try {
-      double us = s == null ? Double.NaN : Double.parseDouble(s.trim());
-      return us >= 0 && Double.isFinite(us) ? us / 1_000 : Double.NaN;
-    } catch (NumberFormatException e) {
-      return Double.NaN;
-    }
-  }
-
   private static void free(Body b) {
     if (b != null) {
       b.free();
@@ -731,7 +541,7 @@
       written.addListener(f -> writingSince = 0);
     }
     receivingSince = 0; // what came meanwhile had to wait, by no fault of its client's
-    if (!ahead.isEmpty() || decoder.held != null) {
+    if (!ahead.isEmpty() || decoder.holds()) {
       takeAhead();
     } else if (!decoder.receiving && !skipping) {
       idleAgain();
@@ -752,7 +562,7 @@
         ReferenceCountUtil.release(part);
       }
     }
-    if (exchange == null && ahead.isEmpty() && decoder.held != null) {
+    if (exchange == null && ahead.isEmpty() && decoder.holds()) {
       // Not at once: guards against a decoder that is entered again while it is at work.
       channel.eventLoop().execute(this::takeHeld);
     }
--- a/src/main/java/rillyard/proxy/Front.java
+++ b/src/main/java/rillyard/proxy/Front.java
@@ -86,7 +86,7 @@
 
   private void accepted(QuietChannel ch) {
     boolean overflow = !sockets.roomForClient();
-    ClientConnection.Decoder decoder = new ClientConnection.Decoder();
+    ClientDecoder decoder = new ClientDecoder();
     ClientConnection c = new ClientConnection(this, ch, decoder, overflow);
     sockets.clientOpened();
     // The end of the channel's future is the moment its descriptor is free; its handlers hear later.
