--- a/src/main/java/rillyard/proxy/Discovery.java
+++ b/src/main/java/rillyard/proxy/Discovery.java
@@ -238,6 +238,9 @@
     /** The watch lives: guards against one whose bytes come for ever and are never whole. */
     @Override
     public void blank() {
+      if (watch != this) {
+        return; // it came behind what broke the watch
+      }
       heardAt = System.nanoTime();
       if (!good) {
         good = true;
