Asked discovery is asked again within the settings' askWithin, whatever it is

Seen on reading again: the cap of 1.4 s on the wait had taken the place of half of askWithin, so that a customer with less than 2.1 s there could be late. Lines: Balancer.onMembership. A comment in Discovery claimed more than docs/design/endings.md says. Measured: BalancerTest, DiscoveryTest, RulesTest.

--- a/src/main/java/rillyard/balancer/Balancer.java
+++ b/src/main/java/rillyard/balancer/Balancer.java
@@ -52,7 +52,7 @@
       // Discovery is scarce: wait longer each time, at chance, but never past what a change allows.
       followTimer = true;
       actions.schedule(followBackoff * (0.5 + random.nextDouble()), FOLLOW_TIMER);
-      followBackoff = Math.min(2 * followBackoff, Tuning.FOLLOW_MOST);
+      followBackoff = Math.min(2 * followBackoff, settings.rules().askAgain(Tuning.FOLLOW_MOST));
     } else if (kind == News.DELTA || kind == News.FULL) {
       followBackoff = Tuning.FOLLOW_BACKOFF;
     }
--- a/src/main/java/rillyard/balancer/Settings.java
+++ b/src/main/java/rillyard/balancer/Settings.java
@@ -71,7 +71,12 @@
 
   /** The figures of the drain and cold-host rules. */
   public record Rules(
-      double cold, double startCapacity, double fall, double fallMultiple, double askWithin) {}
+      double cold, double startCapacity, double fall, double fallMultiple, double askWithin) {
+    /** The longest wait (ms) before discovery is asked again: half of what is allowed if stated, {@code most} at most. */
+    double askAgain(double most) {
+      return askWithin > 0 ? Math.min(most, askWithin / 2) : most;
+    }
+  }
 
   /** Prices that bear on choices. */
   public record Fees(double crossZone, double waste) {}
--- a/src/main/java/rillyard/proxy/Discovery.java
+++ b/src/main/java/rillyard/proxy/Discovery.java
@@ -38,9 +38,9 @@
  */
 final class Discovery {
   /*
-   * What a watch misses counts as told 6 s after it fell silent, or after a call for it went wrong. In the
-   * worst case one is found silent, is opened anew after a wait of this class or the module's, and has its
-   * answer: within that time, sweeps of 250 ms and a connect that takes all of its own included.
+   * What a watch misses counts as told 6 s after it fell silent, or after a call for it went wrong. Within that
+   * time a silent one is opened anew, and so is one after a wait, a connect and an answer's time that all went
+   * as badly as they may. One after the other they may take longer: see docs/design/endings.md.
    */
 
   static final int CONNECT_TIMEOUT_MS = 1_000;
--- a/src/test/java/rillyard/balancer/BalancerTest.java
+++ b/src/test/java/rillyard/balancer/BalancerTest.java
@@ -237,6 +237,16 @@
     assertThat(last).isBetween(700.0, 2_100.0);
   }
 
+  @Test
+  void discoveryIsAskedAgainWithinWhatTheSettingsAllow() {
+    for (double askWithin : new double[] {0, 1_000, 10_000}) {
+      Settings.Rules rules = new Settings.Rules(8_000, 0.3, 1_500, 3, askWithin);
+      double most = rules.askAgain(Tuning.FOLLOW_MOST);
+      assertThat(most).isEqualTo(askWithin == 1_000 ? 500 : Tuning.FOLLOW_MOST);
+      assertThat(1.5 * most).isLessThan(askWithin == 0 ? 6_000 : askWithin);
+    }
+  }
+
   @Test
   void sameSeedAndEventsGiveTheSameActions() {
     Bench other = new Bench();
