Review, case 3: requests sent at once are dropped at a planned restart

Cause: once the client proxy drains, the first response on a connection closes it, although further requests on it were sent and read before SIGTERM (ClientConnection.isLastResponse and onResponseWritten).

Change: review/3 with its script. Nothing of the program is changed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+set -- PipelinedRestart
+. "$(dirname "$0")/../lab/run-case.sh"
