--- a/review/3/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/bin/sh
-set -- PipelinedRestart
-. "$(dirname "$0")/../lab/run-case.sh"
