Review: each run.sh names and writes its record.txt

Change: each run.sh is complete by itself, creates record.txt in its folder first, and writes a line there if nothing is built; the proxy's log is at its end in place of a file beside it. The record of a failed run is kept.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,20 @@
 #!/bin/sh
-set -- LateSecondAnswer
-. "$(dirname "$0")/../lab/run-case.sh"
+# Ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run. Build first by the command of
+# deploy/balancer.toml, then by review/build.sh. What was sent, answered and run is written to record.txt in this folder.
+folder=$(cd "$(dirname "$0")" && pwd)
+root=$(cd "$folder/../.." && pwd)
+record="$folder/record.txt"
+: > "$record" || exit 2
+if [ ! -f "$root/target/rillyard.jar" ] || [ ! -f "$root/target/review-classes/LateSecondAnswer.class" ]; then
+  echo "not built: build by the command of deploy/balancer.toml, then review/build.sh" | tee "$record" >&2
+  exit 2
+fi
+java -Dreview.root="$root" -cp "$root/target/review-classes" LateSecondAnswer "$record" &
+pid=$!
+trap 'kill "$pid"; wait "$pid"; exit 2' INT TERM HUP
+wait "$pid"
+case $? in
+  0) exit 0 ;;
+  3) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -37,16 +37,15 @@
             + "{\"name\":\"listen\",\"aim\":400.0,\"deadline\":1500.0,\"semantics\":\"idempotent\","
             + "\"keyScope\":\"all\",\"repeatWindow\":0.0,\"value\":3.0,\"lateWorth\":0.0,\"streamed\":false}]";
 
-    final Path folder;
     final Path temporary;
     private final PrintWriter record;
     private final long startedNanos = System.nanoTime();
     private final List<AutoCloseable> resources = new CopyOnWriteArrayList<>();
 
-    Lab(Path folder) throws IOException {
-        this.folder = folder;
+    /** Creates a folder for temporary files and the file that {@link #record} writes to. */
+    Lab(Path recordFile) throws IOException {
         this.temporary = Files.createTempDirectory("review");
-        this.record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")));
+        this.record = new PrintWriter(Files.newBufferedWriter(recordFile));
     }
 
     /** True if the case is to show its disruption; TROUBLE=0 leaves it out. */
@@ -87,6 +86,7 @@
             }
         }
         resources.clear();
+        recordProxyLog();
         record.close();
         try (var paths = Files.walk(temporary)) {
             paths.sorted(java.util.Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
@@ -95,6 +95,15 @@
         }
     }
 
+    /** Appends the log of the client proxy to the record. */
+    private void recordProxyLog() {
+        try (var lines = Files.lines(temporary.resolve("proxy.log"))) {
+            lines.forEach(line -> record("proxy log: %s", line));
+        } catch (IOException | RuntimeException e) {
+            record("proxy log: %s", e);
+        }
+    }
+
     static Thread start(String name, Body body) {
         Thread thread = new Thread(
                 () -> {
@@ -449,7 +458,7 @@
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runCommand());
             builder.directory(root().toFile());
             builder.redirectErrorStream(true);
-            builder.redirectOutput(folder.resolve("proxy.log").toFile());
+            builder.redirectOutput(temporary.resolve("proxy.log").toFile());
             Map<String, String> env = builder.environment();
             env.put("BALANCER_NAME", "n3");
             env.put("BALANCER_LISTEN", "127.0.0.1:" + port);
@@ -517,7 +526,7 @@
     }
 
     /**
-     * Runs a case in the folder that the first argument names, and ends with its status: 0 if the rule held, 3 if it was
+     * Runs a case, whose record goes to the file that the first argument names, and ends with its status: 0 if the rule held, 3 if it was
      * broken, 2 if the case could not run.
      */
     static void main(String[] arguments, Case body) {
