--- a/review/3/CrowdedDownload.java
+++ b/review/3/CrowdedDownload.java
@@ -52,6 +52,7 @@
                 int bytes = (int) (sendBufferBytes * (SMALLEST_SHARE + number * STEP_SHARE));
                 try (Lab.Client client = new Lab.Client(proxy.address, RECEIVE_BUFFER_BYTES)) {
                     String id = "c-" + number + "-" + bytes;
+                    lab.record("client: sent %s", id);
                     client.send(Lab.request("visit-log", id, "visit", 1_200));
                     long got = download(client.in);
                     lab.record("client: %s got %d of %d bytes of the answer", id, got, bytes);
@@ -119,6 +120,7 @@
 
     private static boolean give(Lab lab, Lab.Message request, Lab.HostConnection connection) throws Exception {
         String id = request.header("x-request-id");
+        lab.record("host %s: runs %s", connection.host.id, id);
         int length = Integer.parseInt(id.substring(id.lastIndexOf('-') + 1));
         connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n");
         byte[] piece = new byte[16_384];
