--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -48,9 +48,13 @@
         this.record = new PrintWriter(Files.newBufferedWriter(recordFile));
     }
 
-    /** True if the case is to show its disruption; TROUBLE=0 leaves it out. */
+    /** True if the case is to show its disruption; run.sh passes "off" with TROUBLE=0, else "on". */
     static boolean trouble() {
-        return !"0".equals(System.getenv("TROUBLE"));
+        String trouble = System.getProperty("review.trouble", "");
+        if (!trouble.equals("on") && !trouble.equals("off")) {
+            throw new IllegalStateException("review.trouble is neither on nor off: " + trouble);
+        }
+        return trouble.equals("on");
     }
 
     double millis() {
@@ -539,6 +543,7 @@
                 System.err.println("the case takes longer than " + MAX_MILLIS + " ms");
                 System.exit(2);
             });
+            lab.tell("disruption: %s", trouble() ? "on" : "off (TROUBLE=0)");
             status = body.run(lab) ? 0 : 3;
             lab.tell("result: %s", status == 0 ? "the rule held" : "the rule was broken");
             Runtime.getRuntime().removeShutdownHook(closing);
