Review: clients that stop within a head end the only event loop thread

Cause: heads of requests are charged to no budget. 300 clients that stop within a head of 16 KB and stay fill the heap of 32 MB; the OutOfMemoryError ends the thread of the event loop, and the process goes on without it.

The lab of the cases also tells when a host read a request's first byte. The program is not changed.

--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -142,6 +142,8 @@
         byte[] body = new byte[0];
         /** Whether the body had its announced end; a message without a length ends with its connection. */
         boolean whole = true;
+        /** When a host read the first byte, in ms since the start of the case. */
+        double firstByteMillis;
 
         int status() {
             return Integer.parseInt(firstLine.split(" ")[1]);
@@ -321,7 +323,14 @@
             try (socket) {
                 HostConnection connection = new HostConnection(this, socket);
                 while (true) {
+                    connection.in.mark(1);
+                    if (connection.in.read() < 0) {
+                        return;
+                    }
+                    double firstByteMillis = millis();
+                    connection.in.reset();
                     Message request = read(connection.in);
+                    request.firstByteMillis = firstByteMillis;
                     connection.requests++;
                     if (!request.whole || !handler.handle(request, connection)) {
                         return;
