--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,12 +6,12 @@
 root=$(cd "$folder/../.." && pwd)
 record="$folder/record.txt"
 : > "$record" || exit 2
-if [ ! -f "$root/target/rillyard.jar" ] || [ ! -f "$root/target/review-classes/LateAttempt.class" ]; then
+if [ ! -f "$root/target/rillyard.jar" ] || [ ! -f "$root/target/review-classes/SlowAnswer.class" ]; then
   echo "not built: build by the command of deploy/balancer.toml, then review/build.sh" | tee "$record" >&2
   exit 2
 fi
 if [ "${TROUBLE:-1}" = 0 ]; then trouble=off; else trouble=on; fi
-java -Dreview.root="$root" -Dreview.trouble="$trouble" -cp "$root/target/review-classes" LateAttempt "$record" &
+java -Dreview.root="$root" -Dreview.trouble="$trouble" -cp "$root/target/review-classes" SlowAnswer "$record" &
 pid=$!
 trap 'kill "$pid"; wait "$pid"; exit 2' INT TERM HUP
 wait "$pid"
