--- a/review/1/StoppedHeads.java
+++ b/review/1/StoppedHeads.java
@@ -6,12 +6,12 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Ten usual clients send small requests to six sound hosts. For three seconds 300 other clients have stopped within
+ * Ten usual clients send small requests to six sound hosts. For three seconds 400 other clients have stopped within
  * the head of a request and stay; after that they are gone.
  */
 final class StoppedHeads {
     private static final int USUAL_CLIENTS = 10;
-    private static final int STOPPED_CLIENTS = 300;
+    private static final int STOPPED_CLIENTS = 400;
     /** Bytes of an incomplete head; the proxy accepts heads of up to 16 KiB. */
     private static final int HEAD_BYTES = 16_000;
     private static final int TIMEOUT_MILLIS = 800;
@@ -78,7 +78,7 @@
                 when, served.get(), refused.get(), failed.get(), lost.get(), excused.get());
     }
 
-    /** 300 clients send a part of a head, read what they are sent, and leave after 3 s. */
+    /** 400 clients send a part of a head, read what they are sent, and leave after 3 s. */
     private void stopWithinHeads(Lab.Proxy proxy) throws Exception {
         StringBuilder head = new StringBuilder("POST /visit-claim HTTP/1.1\r\nHost: api.internal\r\n");
         for (int i = 0; head.length() < HEAD_BYTES; i++) {
