The memory of header sections is bounded over all connections

Cause: the decoder keeps a header line of 15 bytes as some 150 bytes of objects, and no budget counted them. A class histogram with 200 such clients shows 201,049 HeaderEntry, 201,079 AsciiString, 207,146 String and 408,944 byte[], 30 MB together, and an old generation with 1 kB free; 2.4 MB were live before and after. Ruled out by the same histogram: bodies, read buffers (direct memory), the pipeline buffer, channel handlers.

Change: HeaderMemoryBudget charges each field as it is parsed, on both sides, against a fifth of the heap. Exhausted, it ends the connection that has received the most of incomplete or pipelined requests (503, unsent), so that a usual request is never the one; requests in progress may hold half. Trailers are validated and not kept, as nothing forwards them.

--- a/src/main/java/rillyard/proxy/ClientProxy.java
+++ b/src/main/java/rillyard/proxy/ClientProxy.java
@@ -25,6 +25,7 @@
 import rillyard.proxy.logging.ProxyLog;
 import rillyard.proxy.resources.BodyMemoryBudget;
 import rillyard.proxy.resources.DescriptorBudget;
+import rillyard.proxy.resources.HeaderMemoryBudget;
 import rillyard.proxy.upstream.UpstreamPool;
 import rillyard.stall.StallDetector;
 
@@ -90,9 +91,10 @@
         this.loop = (EventLoop) group.next();
         DescriptorBudget descriptors = new DescriptorBudget(config.maxDescriptors());
         BodyMemoryBudget bodyMemory = new BodyMemoryBudget(bodyMemoryMb(config) << MEGABYTE_SHIFT);
-        UpstreamPool upstreams = new UpstreamPool(group, channels, config, descriptors, log);
+        HeaderMemoryBudget headerMemory = HeaderMemoryBudget.ofHeap();
+        UpstreamPool upstreams = new UpstreamPool(group, channels, config, descriptors, headerMemory, log);
         this.driver = new BalancerDriver(loop, config, upstreams, bodyMemory, log, guard, peerGossip);
-        this.listener = new ClientListener(driver, config, descriptors, bodyMemory, log, stallDetector);
+        this.listener = new ClientListener(driver, config, descriptors, bodyMemory, headerMemory, log, stallDetector);
         this.endpointWatch = new EndpointWatch(group, channels, config, driver.endpoints(), driver, log);
         this.drainController = new DrainController(loop, listener, driver, log, longestDeadlineMillis(config));
     }
--- a/src/main/java/rillyard/proxy/dispatch/ClientRequest.java
+++ b/src/main/java/rillyard/proxy/dispatch/ClientRequest.java
@@ -16,6 +16,7 @@
 import rillyard.balancer.IncomingRequest;
 import rillyard.proxy.http.ProtocolHeaders;
 import rillyard.proxy.resources.BufferedBody;
+import rillyard.proxy.resources.ReceivedHeaders;
 
 /**
  * A validated request of a client, with a buffered body, a streaming upload, or no body.
@@ -91,8 +92,9 @@
         return channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
     }
 
-    /** Frees the memory of the body. */
+    /** Frees the memory of the head and of the body. */
     void release() {
+        ReceivedHeaders.release(head.headers());
         if (body != null) {
             body.release();
         }
--- a/src/main/java/rillyard/proxy/downstream/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientConnection.java
@@ -247,6 +247,11 @@
         channel.config().setAutoRead(true);
     }
 
+    /** Ends the reception of requests whose header sections use too much memory. */
+    void endReception() {
+        reader.endReception();
+    }
+
     /** Makes the next response the last one. */
     void closeAfterResponse() {
         if (state == State.OPEN) {
--- a/src/main/java/rillyard/proxy/downstream/ClientListener.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientListener.java
@@ -22,6 +22,8 @@
 import rillyard.proxy.resources.BodyMemoryBudget;
 import rillyard.proxy.resources.ConnectionLimits;
 import rillyard.proxy.resources.DescriptorBudget;
+import rillyard.proxy.resources.HeaderMemoryAccount;
+import rillyard.proxy.resources.HeaderMemoryBudget;
 import rillyard.stall.StallDetector;
 
 /**
@@ -40,6 +42,7 @@
     private final BalancerDriver driver;
     private final DescriptorBudget descriptors;
     private final BodyMemoryBudget bodyMemory;
+    private final HeaderMemoryBudget headerMemory;
     private final ProxyLog log;
     private final StallDetector stallDetector;
     private final AcceptControl acceptControl;
@@ -61,11 +64,13 @@
             ProxyConfig config,
             DescriptorBudget descriptors,
             BodyMemoryBudget bodyMemory,
+            HeaderMemoryBudget headerMemory,
             ProxyLog log,
             StallDetector stallDetector) {
         this.driver = driver;
         this.descriptors = descriptors;
         this.bodyMemory = bodyMemory;
+        this.headerMemory = headerMemory;
         this.log = log;
         this.stallDetector = stallDetector;
         this.acceptControl = new AcceptControl(descriptors, log);
@@ -126,7 +131,10 @@
     private void onAccepted(PeekableSocketChannel channel) {
         boolean overflow = !descriptors.hasCapacityForClient();
         PipelineBuffer pipelineBuffer = new PipelineBuffer(bodyMemory);
-        ClientRequestDecoder decoder = new ClientRequestDecoder(pipelineBuffer);
+        HeaderMemoryAccount account = new HeaderMemoryAccount(
+                headerMemory,
+                () -> channel.pipeline().get(ClientConnection.class).endReception());
+        ClientRequestDecoder decoder = new ClientRequestDecoder(pipelineBuffer, account);
         ClientConnection connection = new ClientConnection(this, channel, decoder, pipelineBuffer, overflow);
         descriptors.onClientOpened();
         // The close future completes when the descriptor is free; the handlers are notified later.
--- a/src/main/java/rillyard/proxy/downstream/ClientRequestDecoder.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientRequestDecoder.java
@@ -7,6 +7,8 @@
 import io.netty.util.ReferenceCountUtil;
 import rillyard.proxy.eventloop.PeekableSocketChannel;
 import rillyard.proxy.resources.ConnectionLimits;
+import rillyard.proxy.resources.HeaderMemoryAccount;
+import rillyard.proxy.resources.ReceivedHeaders;
 
 /**
  * Parses the bytes of a client connection into requests, and tracks whether and since when one is being received.
@@ -18,6 +20,7 @@
     private static final int MAX_DISCARDED_BYTES = 256 * 1024;
 
     private final PipelineBuffer pipelineBuffer;
+    private final HeaderMemoryAccount headerMemory;
     private ChannelHandlerContext context;
     private boolean receiving;
     private boolean discardingInput;
@@ -25,9 +28,11 @@
     private long lastReadNanos;
     private long receivingSinceNanos;
 
-    ClientRequestDecoder(PipelineBuffer pipelineBuffer) {
-        super(ConnectionLimits.DECODER_CONFIG);
+    /** Creates a decoder whose header sections are charged to {@code headerMemory}. */
+    ClientRequestDecoder(PipelineBuffer pipelineBuffer, HeaderMemoryAccount headerMemory) {
+        super(ConnectionLimits.decoderConfig(headerMemory));
         this.pipelineBuffer = pipelineBuffer;
+        this.headerMemory = headerMemory;
     }
 
     @Override
@@ -39,6 +44,7 @@
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
         pipelineBuffer.releaseBytes();
         super.channelInactive(ctx);
+        headerMemory.release();
     }
 
     @Override
@@ -69,6 +75,7 @@
     /** From now on discards all input. */
     void discardInput() {
         discardingInput = true;
+        headerMemory.discard();
     }
 
     /** From now on holds input unparsed, up to a limit, so that the end of the connection is still noticed. */
@@ -135,6 +142,13 @@
         receivingSinceNanos = 0;
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] startLine) throws Exception {
+        HttpMessage message = super.createMessage(startLine);
+        ReceivedHeaders.chargeStartLine(message.headers(), startLine[1].length());
+        return message;
+    }
+
     /** Rejects a request whose length is ambiguous, so that its body could hide another request (RFC 9112, 6.1). */
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
--- a/src/main/java/rillyard/proxy/downstream/RequestBodyReceiver.java
+++ b/src/main/java/rillyard/proxy/downstream/RequestBodyReceiver.java
@@ -10,6 +10,7 @@
 import rillyard.proxy.eventloop.PeekableSocketChannel;
 import rillyard.proxy.resources.BodyMemoryBudget;
 import rillyard.proxy.resources.BufferedBody;
+import rillyard.proxy.resources.ReceivedHeaders;
 
 /**
  * Receives the body of the current request of one client connection: buffers it up to a limit, forwards a longer one,
@@ -262,7 +263,10 @@
             buffered.release();
             buffered = null;
         }
-        head = null;
+        if (head != null) {
+            ReceivedHeaders.release(head.headers());
+            head = null;
+        }
         upload = null;
         if (state != State.SKIPPING) {
             state = State.IDLE;
--- a/src/main/java/rillyard/proxy/downstream/RequestDispatcher.java
+++ b/src/main/java/rillyard/proxy/downstream/RequestDispatcher.java
@@ -17,6 +17,7 @@
     private final ProxyLog log;
     private final int maxOpenRequests;
     private long rejectedForMemory;
+    private long rejectedForHeaderMemory;
     private long rejectedForCapacity;
 
     RequestDispatcher(BalancerDriver driver, ProxyLog log, int maxOpenRequests) {
@@ -71,6 +72,11 @@
         log.info("client: request rejected, reason=body_memory total=" + ++rejectedForMemory);
     }
 
+    /** Logs a request, complete or not, that is rejected because there is no memory for its header section. */
+    void logRejectedForHeaderMemory() {
+        log.info("client: request rejected, reason=header_memory total=" + ++rejectedForHeaderMemory);
+    }
+
     /** Logs a request that exceeds the limit of open requests, or whose connection exceeds that of connections. */
     void logRejectedForCapacity() {
         log.info("client: request rejected, reason=descriptors total=" + ++rejectedForCapacity);
--- a/src/main/java/rillyard/proxy/downstream/RequestReader.java
+++ b/src/main/java/rillyard/proxy/downstream/RequestReader.java
@@ -11,6 +11,7 @@
 import rillyard.proxy.dispatch.StreamingUpload;
 import rillyard.proxy.eventloop.PeekableSocketChannel;
 import rillyard.proxy.resources.BufferedBody;
+import rillyard.proxy.resources.ReceivedHeaders;
 
 /**
  * Assembles the requests of one client connection from parsed parts, one at a time, and dispatches them.
@@ -155,6 +156,11 @@
         } else {
             body.onHealthCheck();
         }
+        if (!ReceivedHeaders.beginProgress(request.headers())) {
+            dispatcher.logRejectedForHeaderMemory();
+            rejectUnsent();
+            return;
+        }
         if (HttpUtil.is100ContinueExpected(request)) {
             writer.writeContinue();
         }
@@ -188,14 +194,14 @@
         HttpRequest head = body.head();
         BufferedBody content = body.complete();
         if (body.isHealthCheck()) {
-            release(content);
+            release(head, content);
             writer.sendStatus(connection.isProxyReady() ? OK : SERVICE_UNAVAILABLE, 0);
         } else if (hasCapacity()) {
             dispatch(head, content);
         } else {
             onRejectedForCapacity();
             dispatcher.countRejected(body.requestClass());
-            release(content);
+            release(head, content);
             writer.sendStatus(SERVICE_UNAVAILABLE, 0);
         }
     }
@@ -204,7 +210,7 @@
         // The last byte may have waited to be read: that time counts against the client's timeout.
         double remainingMillis = Math.max(0, body.timeoutMillis() - body.waitedMillis());
         if (dispatcher.isDuplicate(head)) {
-            release(content);
+            release(head, content);
             connection.reject(CONFLICT);
             return;
         }
@@ -225,7 +231,7 @@
         try {
             return dispatcher.newExchange(head, body.requestClass(), content, remainingMillis, writer);
         } catch (RuntimeException | Error e) {
-            release(content);
+            release(head, content);
             throw e;
         }
     }
@@ -235,7 +241,7 @@
         HttpRequest head = body.head();
         BufferedBody start = body.detach();
         if (dispatcher.isDuplicate(head)) {
-            start.release();
+            release(head, start);
             connection.reject(CONFLICT);
             return;
         }
@@ -271,13 +277,32 @@
      */
     void rejectForMemory() {
         dispatcher.logRejectedForMemory();
+        rejectUnsent();
+    }
+
+    /** Rejects the current request, of which no host has seen anything. */
+    private void rejectUnsent() {
         if (!body.isHealthCheck()) { // a health check has no request class
             dispatcher.countRejected(body.requestClass());
         }
         connection.reject(SERVICE_UNAVAILABLE);
     }
 
-    private static void release(BufferedBody content) {
+    /** Ends the reception of incomplete and pipelined requests, as their header sections use too much memory. */
+    void endReception() {
+        dispatcher.logRejectedForHeaderMemory();
+        if (connection.hasExchange()) {
+            connection.closeAfterResponse();
+            decoder.discardInput();
+            pipelineBuffer.releaseParts();
+            pipelineBuffer.releaseBytes();
+        } else {
+            connection.reject(SERVICE_UNAVAILABLE);
+        }
+    }
+
+    private static void release(HttpRequest head, BufferedBody content) {
+        ReceivedHeaders.release(head.headers());
         if (content != null) {
             content.release();
         }
--- a/src/main/java/rillyard/proxy/downstream/RequestValidator.java
+++ b/src/main/java/rillyard/proxy/downstream/RequestValidator.java
@@ -16,6 +16,7 @@
 import rillyard.proxy.dispatch.BalancerDriver;
 import rillyard.proxy.http.ProtocolHeaders;
 import rillyard.proxy.resources.BufferedBody;
+import rillyard.proxy.resources.HeaderMemoryExhaustedException;
 
 /**
  * Checks the head of each request against the protocol.
@@ -43,6 +44,7 @@
     private static final int CONTENT_TOO_LARGE = 413;
     private static final int URI_TOO_LONG = 414;
     private static final int HEADERS_TOO_LARGE = 431;
+    private static final int SERVICE_UNAVAILABLE = 503;
     private static final int VERSION_NOT_SUPPORTED = 505;
 
     private static final ValidationResult HEALTH_CHECK = new ValidationResult.HealthCheck();
@@ -75,6 +77,9 @@
 
     /** Returns the response status for a request whose head or body can't be parsed. */
     static int statusOf(Throwable decoderFailure) {
+        if (decoderFailure instanceof HeaderMemoryExhaustedException) {
+            return SERVICE_UNAVAILABLE;
+        }
         if (decoderFailure instanceof TooLongHttpLineException) {
             return URI_TOO_LONG;
         }
--- a/src/main/java/rillyard/proxy/resources/ConnectionLimits.java
+++ b/src/main/java/rillyard/proxy/resources/ConnectionLimits.java
@@ -13,12 +13,21 @@
     /** Water marks of the write buffer (bytes); they bound the memory of one connection. */
     public static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK = new WriteBufferWaterMark(16_384, 32_768);
 
-    /** Limits of the HTTP decoders on either side of the proxy. */
-    public static final HttpDecoderConfig DECODER_CONFIG = new HttpDecoderConfig()
+    private static final HttpDecoderConfig DECODER_CONFIG = new HttpDecoderConfig()
             .setMaxInitialLineLength(8_192)
             .setMaxHeaderSize(16_384)
             .setMaxChunkSize(16_384)
-            .setInitialBufferSize(256);
+            .setInitialBufferSize(256)
+            .setTrailersFactory(new DiscardedTrailers.Factory());
 
     private ConnectionLimits() {}
+
+    /**
+     * Returns the limits of the HTTP decoder of one connection on either side of the proxy.
+     *
+     * @param headerMemory account that is charged with the header sections
+     */
+    public static HttpDecoderConfig decoderConfig(HeaderMemoryAccount headerMemory) {
+        return DECODER_CONFIG.clone().setHeadersFactory(headerMemory);
+    }
 }
--- a/src/main/java/rillyard/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/rillyard/proxy/upstream/UpstreamConnection.java
@@ -128,6 +128,7 @@
     void onResponseEnd() {
         call = null;
         reader.stop();
+        decoder.releaseHeaderMemory();
         channel.config().setAutoRead(true);
         if (keepAlive && channel.isActive() && !decoder.hasSurplusBytes() && isReusable()) {
             reuse.onIdle();
@@ -146,6 +147,7 @@
         }
         call = null;
         reader.discardRest();
+        decoder.releaseHeaderMemory();
         reuse.onIdle();
         if (keepAlive) {
             pool.onDiscarding(this);
@@ -165,6 +167,7 @@
     private void end() {
         call = null;
         reader.stop();
+        decoder.releaseHeaderMemory();
         channel.close();
     }
 
--- a/src/main/java/rillyard/proxy/upstream/UpstreamPool.java
+++ b/src/main/java/rillyard/proxy/upstream/UpstreamPool.java
@@ -21,6 +21,8 @@
 import rillyard.proxy.logging.ProxyLog;
 import rillyard.proxy.resources.ConnectionLimits;
 import rillyard.proxy.resources.DescriptorBudget;
+import rillyard.proxy.resources.HeaderMemoryAccount;
+import rillyard.proxy.resources.HeaderMemoryBudget;
 import rillyard.trace.TraceEvent.Kind;
 
 /**
@@ -43,6 +45,7 @@
 
     private final Bootstrap bootstrap;
     private final DescriptorBudget descriptors;
+    private final HeaderMemoryBudget headerMemory;
     private final ProxyLog log;
     private final IdleTimeoutPolicy idleTimeouts;
     private final Set<UpstreamConnection> discarding = new HashSet<>();
@@ -60,8 +63,10 @@
             SocketChannelFactory channels,
             ProxyConfig config,
             DescriptorBudget descriptors,
+            HeaderMemoryBudget headerMemory,
             ProxyLog log) {
         this.descriptors = descriptors;
+        this.headerMemory = headerMemory;
         this.log = log;
         this.connectFailures = new ConnectFailureClassifier(log);
         this.idleTimeouts = IdleTimeoutPolicy.of(
@@ -142,7 +147,7 @@
             connectFailures.reportLocal(call, future.cause());
             return;
         }
-        UpstreamResponseDecoder decoder = new UpstreamResponseDecoder(ConnectionLimits.DECODER_CONFIG);
+        UpstreamResponseDecoder decoder = new UpstreamResponseDecoder(new HeaderMemoryAccount(headerMemory, null));
         UpstreamConnection connection = new UpstreamConnection(this, host, channel, decoder);
         descriptors.onUpstreamOpened();
         channel.closeFuture().addListener(closed -> descriptors.onUpstreamClosed());
--- a/src/main/java/rillyard/proxy/upstream/UpstreamResponseDecoder.java
+++ b/src/main/java/rillyard/proxy/upstream/UpstreamResponseDecoder.java
@@ -1,10 +1,11 @@
 package rillyard.proxy.upstream;
 
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import rillyard.proxy.resources.ConnectionLimits;
+import rillyard.proxy.resources.HeaderMemoryAccount;
 
 /**
  * Decodes the responses of a host strictly, and records whether and when bytes of the current response were read.
@@ -12,11 +13,14 @@
  * <p>Confined to the event loop.
  */
 final class UpstreamResponseDecoder extends HttpResponseDecoder {
+    private final HeaderMemoryAccount headerMemory;
     private boolean hasResponseBegun;
     private long lastReadNanos;
 
-    UpstreamResponseDecoder(HttpDecoderConfig config) {
-        super(config);
+    /** Creates a decoder whose header sections are charged to {@code headerMemory}. */
+    UpstreamResponseDecoder(HeaderMemoryAccount headerMemory) {
+        super(ConnectionLimits.decoderConfig(headerMemory));
+        this.headerMemory = headerMemory;
     }
 
     @Override
@@ -33,9 +37,15 @@
 
     /** Prepares for the response after an interim one, of which bytes may have been read already. */
     void onInterimResponseEnd() {
+        releaseHeaderMemory();
         hasResponseBegun = hasSurplusBytes();
     }
 
+    /** Returns the memory of the response's header section to its budget, as the response has been handled. */
+    void releaseHeaderMemory() {
+        headerMemory.release();
+    }
+
     /** Restarts the time since the last read, after the proxy itself has paused reading. */
     void onReadingResumed() {
         lastReadNanos = System.nanoTime();
--- a/src/test/java/rillyard/proxy/dispatch/DriverFixture.java
+++ b/src/test/java/rillyard/proxy/dispatch/DriverFixture.java
@@ -21,6 +21,7 @@
 import rillyard.proxy.logging.ProxyLog;
 import rillyard.proxy.resources.BodyMemoryBudget;
 import rillyard.proxy.resources.DescriptorBudget;
+import rillyard.proxy.resources.HeaderMemoryBudget;
 import rillyard.proxy.upstream.UpstreamPool;
 
 /** A balancer driver on its own event loop, with one host and no clients. */
@@ -41,7 +42,8 @@
         ProxyConfig config = ProxyConfig.load(Map.of("BALANCER_CONFIG", file.toString()));
         Files.delete(file);
         SocketChannelFactory channels = new SocketChannelFactory();
-        UpstreamPool upstreams = new UpstreamPool(group, channels, config, new DescriptorBudget(1_000), log);
+        UpstreamPool upstreams = new UpstreamPool(
+                group, channels, config, new DescriptorBudget(1_000), HeaderMemoryBudget.ofHeap(), log);
         driver = new BalancerDriver(loop, config, upstreams, new BodyMemoryBudget(MEMORY_BYTES), log, null, null);
         EndpointWatch watch = new EndpointWatch(group, channels, config, driver.endpoints(), driver, log);
         loop.submit(() -> watch.start(config.cachedEndpoints())).get();
--- a/src/test/java/rillyard/proxy/upstream/UpstreamCallFailureTest.java
+++ b/src/test/java/rillyard/proxy/upstream/UpstreamCallFailureTest.java
@@ -34,6 +34,7 @@
 import rillyard.proxy.eventloop.SocketChannelFactory;
 import rillyard.proxy.logging.ProxyLog;
 import rillyard.proxy.resources.DescriptorBudget;
+import rillyard.proxy.resources.HeaderMemoryBudget;
 
 /**
  * Guards against calls that never end because they throw in a timer or at the end of a connect, where no handler of a
@@ -114,7 +115,8 @@
         ProxyConfig config = ProxyConfig.load(Map.of("BALANCER_CONFIG", file.toString()));
         Files.delete(file);
         ProxyLog log = new ProxyLog(new PrintStream(logOutput, true, StandardCharsets.UTF_8));
-        pool = new UpstreamPool(group, new SocketChannelFactory(), config, new DescriptorBudget(100), log);
+        pool = new UpstreamPool(
+                group, new SocketChannelFactory(), config, new DescriptorBudget(100), HeaderMemoryBudget.ofHeap(), log);
         upstreamHost.onAnnounced(
                 new EndpointEntry(0, "z", "k", 0, EndpointEntry.Condition.READY, 0),
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port()));
