A process without its event loop, or without heap, ends

Who waited for its drain (SIGTERM) waited for ever.

Cause: nothing watches the event loop's thread. The Error left SingleThreadEventExecutor.run, its warning failed with a second Error ("Could not initialize class java.util.logging.LogRecord" in the log), and the thread was gone; DrainController.awaitEnd waits for a poll that only that thread could run.

EventLoops runs an action in a finally block of the loop's thread, so that nothing that ends it goes unseen: ProxyLauncher writes one line and halts with status 1. awaitEnd returns also when the loop has ended, and says whether the drain was completed; only then the shutdown hook ends with status 0.

The error in HandlerFailureTest is thrown from an accept, outside of the channel's own guard.

--- a/src/main/java/rillyard/proxy/ClientProxy.java
+++ b/src/main/java/rillyard/proxy/ClientProxy.java
@@ -1,14 +1,13 @@
 package rillyard.proxy;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
 import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import rillyard.admin.ProxyMetrics;
 import rillyard.balancer.Settings;
@@ -20,6 +19,7 @@
 import rillyard.proxy.dispatch.BalancerDriver;
 import rillyard.proxy.dispatch.PeerGossip;
 import rillyard.proxy.downstream.ClientListener;
+import rillyard.proxy.eventloop.EventLoops;
 import rillyard.proxy.eventloop.SocketChannelFactory;
 import rillyard.proxy.eventloop.StallAwareIoHandler;
 import rillyard.proxy.logging.ProxyLog;
@@ -56,6 +56,8 @@
     private final EndpointWatch endpointWatch;
     private final DrainController drainController;
     private volatile ProxyAdmin admin;
+    private volatile Runnable loopFailureHandler = () -> {};
+    private volatile boolean stopping;
     private InetSocketAddress adminAddress;
 
     /**
@@ -87,7 +89,7 @@
         this.log = log;
         this.channels = channels;
         StallDetector stallDetector = new StallDetector(System.nanoTime());
-        this.group = newGroup(StallAwareIoHandler.factory(stallDetector, this::onStall));
+        this.group = EventLoops.newGroup(StallAwareIoHandler.factory(stallDetector, this::onStall), this::onLoopEnded);
         this.loop = (EventLoop) group.next();
         DescriptorBudget descriptors = new DescriptorBudget(config.maxDescriptors());
         BodyMemoryBudget bodyMemory = new BodyMemoryBudget(bodyMemoryMb(config) << MEGABYTE_SHIFT);
@@ -111,11 +113,6 @@
         return longestMillis;
     }
 
-    /** Creates an event loop group of one loop, which runs on its own daemon thread. */
-    public static MultiThreadIoEventLoopGroup newGroup(IoHandlerFactory ioHandlers) {
-        return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop", true), ioHandlers);
-    }
-
     // --- start
 
     /**
@@ -239,12 +236,38 @@
 
     /** Starts to drain: open requests get their responses, then {@link #awaitEnd} returns. */
     public void drain() {
-        loop.execute(() -> drainController.start(admin != null && admin.hasSuccessor()));
+        try {
+            loop.execute(() -> drainController.start(admin != null && admin.hasSuccessor()));
+        } catch (RejectedExecutionException e) {
+            log.info("proxy: not drained, cause=the event loop has ended");
+        }
+    }
+
+    /**
+     * Waits until the proxy has been drained or its event loop has ended; an interrupt ends the wait.
+     *
+     * @return whether it has been drained
+     */
+    public boolean awaitEnd() {
+        return drainController.awaitEnd();
+    }
+
+    /**
+     * Sets what runs when the event loop ends by a failure, after which the proxy can't serve any more. It runs on the
+     * loop's thread, maybe without free heap.
+     */
+    public void onLoopFailure(Runnable handler) {
+        loopFailureHandler = handler;
     }
 
-    /** Waits until the proxy has been drained or stopped; an interrupt ends the wait. */
-    public void awaitEnd() {
-        drainController.awaitEnd();
+    private void onLoopEnded() {
+        try {
+            if (!stopping) {
+                loopFailureHandler.run();
+            }
+        } finally {
+            drainController.onLoopEnded();
+        }
     }
 
     /** Stops immediately and closes all connections. */
@@ -256,11 +279,13 @@
         } catch (IOException e) {
             log.error("admin: close failed", e);
         }
+        stopping = true;
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
-        drainController.markEnded();
+        drainController.onLoopEnded();
     }
 
     private void stopGroup() {
+        stopping = true;
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 
--- a/src/main/java/rillyard/proxy/DrainController.java
+++ b/src/main/java/rillyard/proxy/DrainController.java
@@ -11,7 +11,7 @@
  * Drains a proxy: accepts new connections for a short time, completes the requests that were received, and then marks
  * the proxy as ended.
  *
- * <p>Confined to the event loop, except {@link #awaitEnd} and {@link #markEnded}.
+ * <p>Confined to the event loop, except {@link #awaitEnd} and {@link #onLoopEnded}.
  */
 final class DrainController {
     /** Time (ms) for which connections are accepted; clients open new ones for at most 0.4 s after SIGTERM. */
@@ -46,6 +46,7 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private long acceptUntilNanos;
     private long drainUntilNanos;
+    private volatile boolean drained;
 
     /** Creates a controller; {@code longestDeadlineMillis} is the longest deadline of the request classes. */
     DrainController(
@@ -128,7 +129,8 @@
         try {
             listener.closeServerChannel();
         } finally {
-            markEnded();
+            drained = true;
+            ended.countDown();
         }
     }
 
@@ -142,17 +144,22 @@
         return !listener.isBusy();
     }
 
-    /** Marks the proxy as ended, so that {@link #awaitEnd} returns. Any thread. */
-    void markEnded() {
+    /** Ends {@link #awaitEnd}: without its event loop no drain goes on. Any thread. */
+    void onLoopEnded() {
         ended.countDown();
     }
 
-    /** Waits until the drain has ended or the proxy was stopped; an interrupt ends the wait. */
-    void awaitEnd() {
+    /**
+     * Waits until the drain or the event loop has ended; an interrupt ends the wait.
+     *
+     * @return whether the drain has ended
+     */
+    boolean awaitEnd() {
         try {
             ended.await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        return drained;
     }
 }
--- a/src/main/java/rillyard/proxy/lifecycle/ProxyLauncher.java
+++ b/src/main/java/rillyard/proxy/lifecycle/ProxyLauncher.java
@@ -16,6 +16,9 @@
     /** Longest warm-up (ms); on a slow core the proxy is ready in time, but only partly warmed up. */
     private static final long MAX_WARM_UP_MILLIS = 2_000;
 
+    /** Exit status of a process whose event loop has failed. */
+    private static final int LOOP_FAILED_STATUS = 1;
+
     private ProxyLauncher() {}
 
     /**
@@ -54,6 +57,7 @@
         ProxyLog log = new ProxyLog(System.err, trace);
         ClientProxy proxy =
                 new ClientProxy(config, log, EndpointListOptions.createGuard(System.getProperties()), peerGossip);
+        exitOnLoopFailure(proxy);
         drainAtShutdown(proxy); // before it listens, so that SIGTERM always drains it
         StartupTimeline.mark("loop");
         proxy.setWarmingUp();
@@ -78,13 +82,25 @@
     private static void drainAtShutdown(ClientProxy proxy) {
         Runnable drain = () -> {
             proxy.drain();
-            proxy.awaitEnd();
-            // The JVM would exit with status 143 on SIGTERM, but a completed drain is a success.
-            Runtime.getRuntime().halt(0);
+            if (proxy.awaitEnd()) {
+                // The JVM would exit with status 143 on SIGTERM, but a completed drain is a success.
+                Runtime.getRuntime().halt(0);
+            }
         };
         Runtime.getRuntime().addShutdownHook(new Thread(drain, "drain"));
     }
 
+    /** Ends the process if its event loop ends by a failure, so that a supervisor can start another. */
+    private static void exitOnLoopFailure(ClientProxy proxy) {
+        proxy.onLoopFailure(() -> {
+            try {
+                System.err.println("rillyard: proxy: event loop failed, the process ends");
+            } finally { // after an OutOfMemoryError as well
+                Runtime.getRuntime().halt(LOOP_FAILED_STATUS);
+            }
+        });
+    }
+
     private static void warmUp(ProxyConfig config, long maxMillis, ProxyLog log) {
         try {
             new Warmup(config).run(maxMillis);
--- a/src/main/java/rillyard/proxy/lifecycle/Warmup.java
+++ b/src/main/java/rillyard/proxy/lifecycle/Warmup.java
@@ -38,6 +38,7 @@
 import rillyard.balancer.Settings;
 import rillyard.proxy.ClientProxy;
 import rillyard.proxy.config.ProxyConfig;
+import rillyard.proxy.eventloop.EventLoops;
 import rillyard.proxy.eventloop.SocketChannelFactory;
 import rillyard.proxy.http.ProtocolHeaders;
 import rillyard.proxy.logging.ProxyLog;
@@ -93,7 +94,7 @@
         if (config.settings().classes().isEmpty()) {
             return 0; // without request classes no request can be sent or served
         }
-        EventLoopGroup group = ClientProxy.newGroup(NioIoHandler.newFactory());
+        EventLoopGroup group = EventLoops.newGroup(NioIoHandler.newFactory());
         try {
             InetSocketAddress hostAddress = startHosts(group);
             ProxyLog silentLog = new ProxyLog(new PrintStream(OutputStream.nullOutputStream()));
--- a/src/test/java/rillyard/proxy/HandlerFailureTest.java
+++ b/src/test/java/rillyard/proxy/HandlerFailureTest.java
@@ -315,7 +315,7 @@
             fixture.proxy.drain();
             CountDownLatch drained = new CountDownLatch(1);
             Thread waiter = new Thread(() -> {
-                fixture.proxy.awaitEnd();
+                assertThat(fixture.proxy.awaitEnd()).isTrue();
                 drained.countDown();
             });
             waiter.start();
@@ -327,4 +327,21 @@
             }
         }
     }
+
+    /** An error outside of all handlers ends the event loop; who waits for the proxy's end must not wait for ever. */
+    @Test
+    void endOfEventLoopEndsProxy() throws Exception {
+        FaultInjectingChannels channels = new FaultInjectingChannels();
+        CountDownLatch failed = new CountDownLatch(1);
+        try (ProxyFixture fixture = new ProxyFixture(channels)) {
+            fixture.proxy.onLoopFailure(failed::countDown);
+            channels.throwOnNextAccept(new InternalError(FaultInjectingChannels.INJECTED));
+            TestPeer client = fixture.client();
+            failed.await();
+            assertThat(fixture.proxy.awaitEnd()).isFalse();
+            client.close();
+            fixture.proxy.drain(); // SIGTERM after that
+            assertThat(fixture.proxy.awaitEnd()).isFalse();
+        }
+    }
 }
--- a/src/test/java/rillyard/proxy/eventloop/FaultInjectingChannels.java
+++ b/src/test/java/rillyard/proxy/eventloop/FaultInjectingChannels.java
@@ -46,6 +46,7 @@
     private final BlockingQueue<Channel> accepted = new LinkedBlockingQueue<>();
     private volatile WriteFailure writeFailure;
     private volatile Throwable endOfStreamFailure;
+    private volatile Error acceptError;
     private volatile int closeFailurePort = -1;
     private volatile int bytesPerRead = Integer.MAX_VALUE;
     private volatile int bytesPerWrite = Integer.MAX_VALUE;
@@ -93,6 +94,11 @@
         endOfStreamFailure = failure;
     }
 
+    /** Makes the next accept throw this error, which ends the event loop. */
+    public void throwOnNextAccept(Error failure) {
+        acceptError = failure;
+    }
+
     /** Makes the next close of a connection to this port throw. */
     public void throwOnNextCloseTo(int port) {
         closeFailurePort = port;
@@ -157,8 +163,20 @@
             super(stallDetector);
         }
 
+        /** Is called outside of the channel's own guard against exceptions. */
+        @Override
+        protected boolean closeOnReadError(Throwable cause) {
+            if (cause == acceptError) {
+                throw acceptError;
+            }
+            return super.closeOnReadError(cause);
+        }
+
         @Override
         protected SocketChannel acceptSocket() throws IOException {
+            if (acceptError != null) {
+                throw acceptError;
+            }
             check(Call.ACCEPT);
             return super.acceptSocket();
         }
--- a/src/test/java/rillyard/proxy/eventloop/PeekableSocketChannelTest.java
+++ b/src/test/java/rillyard/proxy/eventloop/PeekableSocketChannelTest.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import rillyard.proxy.ClientProxy;
 import rillyard.proxy.TestPeer;
 
 /**
@@ -25,7 +24,7 @@
 class PeekableSocketChannelTest {
     @Test
     void sentBytesArriveAlthoughInputIsUnreadAtClose() throws Exception {
-        MultiThreadIoEventLoopGroup group = ClientProxy.newGroup(NioIoHandler.newFactory());
+        MultiThreadIoEventLoopGroup group = EventLoops.newGroup(NioIoHandler.newFactory());
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             PeekableSocketChannel channel = (PeekableSocketChannel) new Bootstrap()
                     .group(group)
