The time for a head counts from its first byte, not from the next check

Need: a client that stops within a head is owed an error or a close within 3 s of connecting.

Cause: the 2.3 s began at the periodic check after the first byte, up to 250 ms late, and their end is noticed by such a check, too: 2.8 s in all, to which the wait for the accept comes. Ruled out: the ended receptions, which are answered at once.

Change: the timer starts with the read; 2.55 s at most from there. A head that takes 2 s is still taken (StreamingBodyTest, headWithinTwoSecondsIsServed).

--- a/src/main/java/rillyard/proxy/downstream/ClientRequestDecoder.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientRequestDecoder.java
@@ -51,6 +51,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object msg) throws Exception {
         receiving = true;
         lastReadNanos = System.nanoTime();
+        startReceiveTimer(lastReadNanos);
         if (discardingInput) {
             discard(ctx, (ByteBuf) msg);
             return;
--- a/src/test/java/rillyard/proxy/HeaderMemoryIT.java
+++ b/src/test/java/rillyard/proxy/HeaderMemoryIT.java
@@ -34,6 +34,11 @@
     /** Time (ms) after which a request with a timeout of 800 ms counts as lost: 500 ms past it, and 50 ms. */
     private static final int LOST_AFTER_MILLIS = 1_350;
 
+    /** Time (ms) within which a client that stopped is owed an error or the end of its connection. */
+    private static final int MAX_WAIT_MILLIS = 3_000;
+
+    private static final int FIRST_BYTE_TIMEOUT_MILLIS = 1;
+
     @TempDir
     Path folder;
 
@@ -129,10 +134,27 @@
         assertThat(log()).doesNotContain("OutOfMemoryError", "NoClassDefFoundError");
     }
 
+    private void assertAllClientsWereEndedOrAnswered() throws IOException {
+        for (TestPeer client : clients) {
+            client.socket.setSoTimeout(FIRST_BYTE_TIMEOUT_MILLIS);
+            try {
+                client.socket.getInputStream().read();
+            } catch (SocketTimeoutException e) {
+                throw new AssertionError("client " + clients.indexOf(client) + " was not ended; log: " + log(), e);
+            } catch (SocketException e) {
+                // the connection was reset
+            }
+        }
+    }
+
     @Test
     void clientsThatStopWithinHeadLeaveMemoryToOthers() throws Exception {
         sendFromAllClients(headOf("POST", fields()));
+        long sentAtNanos = System.nanoTime();
         assertOthersAreAnswered();
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAtNanos);
+        Thread.sleep(Math.max(0, MAX_WAIT_MILLIS - elapsedMillis));
+        assertAllClientsWereEndedOrAnswered();
         assertNoMemoryWasMissing();
     }
 
