A response of unknown length is forwarded though its host pauses

Cause: such a response was buffered until 32 KiB had come, or until a part came more than 30 ms after the head. Nothing looked at its age while no part came, and while it is buffered the stall time of a short response, 150 ms, holds. Evidence: the log has "outcome=RESET elapsed_ms=252 received=12800/-1" to 255 at all hosts, 100 ms to the first byte and 150 ms. Ruled out: a reset by the host (its record has none) and the limits on size (12,800 bytes). The same 150 ms held within the head, where a long response may pause as well, and after a head without any body.

Change: a timer forwards a response of unknown length 30 ms after its head; within a head the limit is 0.5 s. One that is forwarded and has not passed 64 KiB may be a short one, whose end is owed half a second past its time at the latest: if its host is silent for 0.5 s it ends, visibly incomplete, 0.4 s past the deadline, not after 10 s.

--- a/src/main/java/rillyard/proxy/dispatch/BalancerClock.java
+++ b/src/main/java/rillyard/proxy/dispatch/BalancerClock.java
@@ -15,6 +15,11 @@
         return START_MILLIS + (System.nanoTime() - startedAtNanos) / NANOS_PER_MILLI;
     }
 
+    /** Converts a time (ms) of this clock to {@link System#nanoTime}. */
+    long toNanoTime(double timeMillis) {
+        return startedAtNanos + (long) ((timeMillis - START_MILLIS) * NANOS_PER_MILLI);
+    }
+
     /** Returns Unix time (ms) minus this clock's time, as of the start. */
     double unixOffsetMillis() {
         return unixOffsetMillis;
--- a/src/main/java/rillyard/proxy/dispatch/BalancerDriver.java
+++ b/src/main/java/rillyard/proxy/dispatch/BalancerDriver.java
@@ -91,6 +91,11 @@
         return clock.nowMillis();
     }
 
+    /** Converts a time (ms) of {@link #nowMillis} to {@link System#nanoTime}. */
+    long toNanoTime(double timeMillis) {
+        return clock.toNanoTime(timeMillis);
+    }
+
     /**
      * Returns a Unix time (ms) that never jumps: the wall clock's time at the start plus the monotonic time since then.
      * May be called on any thread.
--- a/src/main/java/rillyard/proxy/dispatch/HostResponse.java
+++ b/src/main/java/rillyard/proxy/dispatch/HostResponse.java
@@ -3,11 +3,18 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.concurrent.Future;
 import rillyard.balancer.AttemptOutcome;
 import rillyard.proxy.resources.BufferedBody;
 
 /** Handles the successful response to one attempt: buffers it, or forwards it while it is received if it is long. */
 final class HostResponse {
+    /** Nanoseconds without progress after which a response that may be a long one can count as lost. */
+    static final long UNKNOWN_LENGTH_STALL_NANOS = 500_000_000L;
+
+    /** Nanoseconds past the deadline at which a short response ends; past 500 ms its request counts as lost. */
+    private static final long MAX_LATE_END_NANOS = 400_000_000L;
+
     private final UpstreamAttempt attempt;
     private final RequestExchange exchange;
     private final BalancerDriver driver;
@@ -15,6 +22,8 @@
     private final long contentLength;
     private long receivedBytes;
     private boolean isAwaitingMemory;
+    /** Null unless the length of the response is unknown. */
+    private Future<?> forwardingTimer;
     /** Null unless the response is being buffered. */
     private ResponseBuffer buffer;
     /** Null unless the response is, or was, forwarded. */
@@ -38,6 +47,16 @@
         buffer = new ResponseBuffer(driver, contentLength, this::resumeBuffering);
         if (buffer.isTooLong()) {
             startForwarding();
+        } else if (contentLength < 0) {
+            forwardingTimer =
+                    exchange.scheduleForAttempt(ResponseBuffer.MAX_UNKNOWN_LENGTH_MILLIS, this::forwardIfBuffered);
+        }
+    }
+
+    /** Forwards a response of unknown length, which may be a long one whose host has paused. */
+    private void forwardIfBuffered() {
+        if (buffer != null) {
+            startForwarding();
         }
     }
 
@@ -112,6 +131,20 @@
         return forwarded != null;
     }
 
+    /** See {@link UpstreamAttempt#stalledAtNanos}. */
+    long stalledAtNanos(long lastReadNanos) {
+        if (!isForwarded()) {
+            return lastReadNanos + UpstreamAttempt.STALL_NANOS;
+        }
+        long stalledAtNanos = lastReadNanos + ForwardedResponse.STALL_NANOS;
+        boolean mayBeShort = contentLength < 0 && receivedBytes <= BufferedBody.MAX_BUFFERED_BYTES;
+        if (!mayBeShort) {
+            return stalledAtNanos;
+        }
+        long overdueAtNanos = driver.toNanoTime(exchange.deadlineAtMillis()) + MAX_LATE_END_NANOS;
+        return Math.min(stalledAtNanos, Math.max(lastReadNanos + UNKNOWN_LENGTH_STALL_NANOS, overdueAtNanos));
+    }
+
     /** Handles the end of the body: ends the forwarded response, or delivers the buffered one. */
     void onEnd() {
         if (isForwarded()) {
@@ -129,6 +162,9 @@
 
     /** Frees the buffered part. */
     void release() {
+        if (forwardingTimer != null) {
+            forwardingTimer.cancel(false);
+        }
         if (buffer != null) {
             ResponseBuffer released = buffer;
             buffer = null;
--- a/src/main/java/rillyard/proxy/dispatch/RequestExchange.java
+++ b/src/main/java/rillyard/proxy/dispatch/RequestExchange.java
@@ -58,6 +58,11 @@
         return request.requestId();
     }
 
+    /** Returns the deadline (ms, on the driver's clock), infinite while an upload is being received. */
+    double deadlineAtMillis() {
+        return deadlineAtMillis;
+    }
+
     /** Passes the request to the balancer. */
     public void dispatch() {
         driver.onRequest(this, request.toIncomingRequest(id));
--- a/src/main/java/rillyard/proxy/dispatch/ResponseBuffer.java
+++ b/src/main/java/rillyard/proxy/dispatch/ResponseBuffer.java
@@ -13,12 +13,11 @@
      * Longest time (ms) for which a response of unknown length is buffered: for a long one the time to the first bytes
      * counts, and hosts may send them slowly.
      */
-    private static final double MAX_UNKNOWN_LENGTH_MILLIS = 30;
+    static final double MAX_UNKNOWN_LENGTH_MILLIS = 30;
 
     private final BalancerDriver driver;
     private final long contentLength;
     private final Runnable memoryWaiter;
-    private final double createdAtMillis;
     private BufferedBody body;
 
     /**
@@ -31,7 +30,6 @@
         this.driver = driver;
         this.contentLength = contentLength;
         this.memoryWaiter = memoryWaiter;
-        this.createdAtMillis = driver.nowMillis();
     }
 
     /** Appends a copy of a part of the body. */
@@ -42,12 +40,12 @@
         body.append(content);
     }
 
-    /** Returns whether the response is to be forwarded instead of buffered. */
+    /** Returns whether the response is to be forwarded instead of buffered, by its size. */
     boolean isTooLong() {
         if (contentLength >= 0) {
             return contentLength > BufferedBody.MAX_BUFFERED_BYTES;
         }
-        return size() > MAX_UNKNOWN_LENGTH_BYTES || driver.nowMillis() - createdAtMillis > MAX_UNKNOWN_LENGTH_MILLIS;
+        return size() > MAX_UNKNOWN_LENGTH_BYTES;
     }
 
     private long size() {
--- a/src/main/java/rillyard/proxy/dispatch/UpstreamAttempt.java
+++ b/src/main/java/rillyard/proxy/dispatch/UpstreamAttempt.java
@@ -197,8 +197,10 @@
     }
 
     @Override
-    public long stallNanos() {
-        return isForwarding() ? ForwardedResponse.STALL_NANOS : STALL_NANOS;
+    public long stalledAtNanos(long lastReadNanos) {
+        return response == null
+                ? lastReadNanos + HostResponse.UNKNOWN_LENGTH_STALL_NANOS
+                : response.stalledAtNanos(lastReadNanos);
     }
 
     @Override
--- a/src/main/java/rillyard/proxy/upstream/ResponseStallCheck.java
+++ b/src/main/java/rillyard/proxy/upstream/ResponseStallCheck.java
@@ -15,19 +15,17 @@
 
     private final UpstreamConnection connection;
     private final Channel channel;
-    private final UpstreamResponseDecoder decoder;
     private boolean isScheduled;
 
-    ResponseStallCheck(UpstreamConnection connection, Channel channel, UpstreamResponseDecoder decoder) {
+    ResponseStallCheck(UpstreamConnection connection, Channel channel) {
         this.connection = connection;
         this.channel = channel;
-        this.decoder = decoder;
     }
 
     /** Starts the check, if a response has begun: all bytes that had arrived have been read. */
     void onReadComplete() {
         if (!isScheduled && connection.isAwaitingProgress()) {
-            schedule(connection.stallNanos());
+            schedule(connection.stalledAtNanos() - System.nanoTime());
         }
     }
 
@@ -43,7 +41,7 @@
             return;
         }
         long nowNanos = System.nanoTime();
-        long remainingNanos = decoder.lastReadNanos() + connection.stallNanos() - nowNanos;
+        long remainingNanos = connection.stalledAtNanos() - nowNanos;
         if (remainingNanos > 0) {
             schedule(remainingNanos);
         } else if (nowNanos - dueAtNanos > LATE_TIMER_NANOS) {
--- a/src/main/java/rillyard/proxy/upstream/UpstreamCall.java
+++ b/src/main/java/rillyard/proxy/upstream/UpstreamCall.java
@@ -13,7 +13,7 @@
  * to the event loop.
  */
 public abstract class UpstreamCall {
-    /** Default nanoseconds without progress after which a response counts as lost; hosts pause for 0.1 s at most. */
+    /** Nanoseconds without progress after which a short response counts as lost. */
     public static final long STALL_NANOS = 150_000_000L;
 
     private final UpstreamHost host;
@@ -62,9 +62,14 @@
     /** Is called when the connection accepts more of the request. */
     public void onWritable() {}
 
-    /** Returns the nanoseconds without progress after which a response that has begun counts as lost. */
-    public long stallNanos() {
-        return STALL_NANOS;
+    /**
+     * Returns the time ({@link System#nanoTime}) at which a response that has begun counts as lost, unless more of it is
+     * read.
+     *
+     * @param lastReadNanos time of the last read
+     */
+    public long stalledAtNanos(long lastReadNanos) {
+        return lastReadNanos + STALL_NANOS;
     }
 
     /** Is called when the response is complete. */
--- a/src/main/java/rillyard/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/rillyard/proxy/upstream/UpstreamConnection.java
@@ -44,7 +44,7 @@
 
     /** Creates a handler for the events of the channel. */
     ChannelHandler newHandler() {
-        return new UpstreamChannelHandler(this, reader, new ResponseStallCheck(this, channel, decoder));
+        return new UpstreamChannelHandler(this, reader, new ResponseStallCheck(this, channel));
     }
 
     /** Returns the call that the connection carries, null if there is none. */
@@ -227,9 +227,9 @@
         return call != null && decoder.hasResponseBegun() && channel.config().isAutoRead();
     }
 
-    /** Returns the nanoseconds without progress after which the current call's response counts as lost. */
-    long stallNanos() {
-        return call.stallNanos();
+    /** Returns the time ({@link System#nanoTime}) at which the current call's response counts as lost. */
+    long stalledAtNanos() {
+        return call.stalledAtNanos(decoder.lastReadNanos());
     }
 
     /** Fails the connection, as the response has stopped half way. */
--- a/src/test/java/rillyard/proxy/StreamingBodyTest.java
+++ b/src/test/java/rillyard/proxy/StreamingBodyTest.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against requests and responses too long to be buffered that are lost, cut off or reordered while they are
@@ -21,6 +23,9 @@
 class StreamingBodyTest {
     private static final int MIB = 1 << 20;
 
+    /** Time (ms) for which a host pauses; the longest pause that the settings of a site name is 230 ms. */
+    private static final int PAUSE_MILLIS = 230;
+
     private static byte[] randomBytes(int length) {
         byte[] bytes = new byte[length];
         new Random(7).nextBytes(bytes);
@@ -98,6 +103,63 @@
         }
     }
 
+    /**
+     * Guards a long response of unknown length whose host pauses: it was cut off when no part of it came for 150 ms before
+     * its forwarding had begun.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nTransfer-Enco|ding: chunked\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n|",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfi|rst\r\n",
+                "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n|",
+                "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nfi|rst"
+            })
+    void longResponseOfUnknownLengthIsForwardedThoughItsHostPauses(String beginning) throws Exception {
+        String part = "x".repeat(60_000);
+        boolean chunked = beginning.contains("chunked");
+        String rest = chunked ? ("ea60\r\n" + part + "\r\n").repeat(2) + "0\r\n\r\n" : part.repeat(2);
+        int pauseAt = beginning.indexOf('|');
+        try (ScriptedServer host = new ScriptedServer(peer -> {
+                    peer.read();
+                    peer.write(beginning.substring(0, pauseAt));
+                    Thread.sleep(PAUSE_MILLIS);
+                    peer.write(beginning.substring(pauseAt + 1) + rest);
+                    if (chunked) {
+                        peer.awaitEnd();
+                    }
+                });
+                ProxyFixture fixture = new ProxyFixture(ProxyFixture.endpoint("a", host.port()))) {
+            TestPeer.Message response = fixture.call(claim());
+            assertThat(response.status()).isEqualTo(200);
+            assertThat(response.text()).hasSize((beginning.contains("fi") ? 5 : 0) + 2 * part.length());
+        }
+    }
+
+    /** Guards a request whose host stops within a response that may be a short one: it has to end in time. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "5\r\nfirst\r\n"})
+    void responseOfUnknownLengthThatStopsEndsInTime(String beginning) throws Exception {
+        try (ScriptedServer host = new ScriptedServer(peer -> {
+                    peer.read();
+                    peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + beginning);
+                    peer.awaitEnd();
+                });
+                ProxyFixture fixture = new ProxyFixture(ProxyFixture.endpoint("a", host.port()));
+                TestPeer client = fixture.client()) {
+            long sentAtNanos = System.nanoTime();
+            client.write(claim());
+            assertThat(client.readHead()).contains("200 OK");
+            byte[] body = client.socket.getInputStream().readAllBytes();
+            long elapsedMillis = (System.nanoTime() - sentAtNanos) / 1_000_000;
+            assertThat(new String(body, java.nio.charset.StandardCharsets.US_ASCII))
+                    .isEqualTo(beginning); // without the last chunk, so that the client can tell
+            assertThat(elapsedMillis)
+                    .isBetween(800L, 1_300L); // its timeout, and the 500 ms past which it counts as lost
+        }
+    }
+
     @Test
     void unreadResponseAppliesBackPressureToHost() throws Exception {
         int length = 32 * MIB;
--- a/src/test/java/rillyard/proxy/upstream/UpstreamCallFailureTest.java
+++ b/src/test/java/rillyard/proxy/upstream/UpstreamCallFailureTest.java
@@ -143,12 +143,12 @@
             private boolean isScheduled;
 
             @Override
-            public long stallNanos() {
+            public long stalledAtNanos(long lastReadNanos) {
                 if (isScheduled) {
                     throw new IllegalStateException("thrown by the test");
                 }
                 isScheduled = true;
-                return SHORT_STALL_NANOS;
+                return lastReadNanos + SHORT_STALL_NANOS;
             }
         });
     }
