A connection rests for 10 ms before it is reused, as a second copy may follow

Cause: selectIdle gave out a connection that had just become idle where no other was there. A copy that is still on its way, 1 to 5 ms late, is not seen by the look into the socket and is read as the response to the new request; the true one then goes to the next request, and so on. Evidence: the record names such chains (c5-3353 got c2-3345's, c3-3363 got c5-3353's, c5-3354 got c3-3363's). Ruled out: the copy read in one piece with the response, and one that comes while the connection is idle, both of which close it.

Change: without a connection that has been idle for 10 ms a new one is opened. AttemptOutcomeTest's test of selectIdle expected the fresh connection, which was the fault: it now expects none, and one of 20 ms as before. Three tests that reuse a connection at once wait for those 10 ms first, else they would not test the reuse.

--- a/src/main/java/rillyard/proxy/upstream/UpstreamPool.java
+++ b/src/main/java/rillyard/proxy/upstream/UpstreamPool.java
@@ -34,6 +34,9 @@
     /** Fraction of the host's idle timeout after which a connection is closed, well before the host closes it. */
     private static final double IDLE_TIMEOUT_FRACTION = 0.7;
 
+    /** Idle time before which a connection is not reused, as hosts send second copies of a response some ms late. */
+    public static final long MIN_IDLE_NANOS = 10_000_000L;
+
     /** Idle time after which the end of the connection has been received if the host closed it after the response. */
     private static final long SETTLE_NANOS = 30_000_000L;
 
@@ -118,16 +121,18 @@
     }
 
     /**
-     * Selects the idle connection to use: the latest to become idle of those that have settled, else the longest idle.
+     * Selects the idle connection to use: the latest to become idle of those that have settled, else the longest idle
+     * if it has been idle for {@link #MIN_IDLE_NANOS}.
      *
      * <p>A host that closes its connection right after a response, or shuts down, does so within the settle time; a
-     * request that crosses the close counts as one that may have been executed. The cost is one or two more connections
-     * to each host, all of them in use.
+     * request that crosses the close counts as one that may have been executed. A second copy of a response that
+     * crosses a request would be taken for the response to it, and each further response for that to the next request.
+     * The cost is one or two more connections to each host, all of them in use.
      *
      * @param idle connections in the order in which they became idle
      * @param idleSinceNanos returns the time at which a connection became idle
      * @param nowNanos the current time on the same clock
-     * @return the connection, still in {@code idle}, or null if there is none
+     * @return the connection, still in {@code idle}, or null if none may be used
      */
     public static <T> T selectIdle(ArrayDeque<T> idle, ToLongFunction<T> idleSinceNanos, long nowNanos) {
         for (Iterator<T> newestFirst = idle.descendingIterator(); newestFirst.hasNext(); ) {
@@ -136,7 +141,9 @@
                 return connection;
             }
         }
-        return idle.peekFirst();
+        T longestIdle = idle.peekFirst();
+        boolean isUsable = longestIdle != null && nowNanos - idleSinceNanos.applyAsLong(longestIdle) >= MIN_IDLE_NANOS;
+        return isUsable ? longestIdle : null;
     }
 
     private void connect(UpstreamCall call, UpstreamHost host) {
--- a/src/test/java/rillyard/proxy/AttemptOutcomeTest.java
+++ b/src/test/java/rillyard/proxy/AttemptOutcomeTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import rillyard.proxy.upstream.UpstreamPool;
 
@@ -198,6 +199,37 @@
         }
     }
 
+    /**
+     * Guards a request that is sent right after a response against a second copy of that response, which crosses it on
+     * the same connection; the responses that follow would each be taken for that to the next request.
+     */
+    @Test
+    void lateSecondCopyOfResponseNeverReachesNextRequest() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        try (ScriptedServer host = new ScriptedServer(peer -> {
+                    TestPeer.Message request;
+                    while ((request = peer.read()) != null) {
+                        boolean isFirst = requests.incrementAndGet() == 1;
+                        peer.write(ScriptedServer.ok(request.text()));
+                        while (isFirst
+                                && requests.get() == 1
+                                && peer.socket.getInputStream().available() == 0) {
+                            Thread.sleep(1); // until the next request has been sent, on whichever connection
+                        }
+                        if (isFirst) {
+                            peer.write(ScriptedServer.ok(request.text()));
+                        }
+                    }
+                });
+                ProxyFixture fixture = new ProxyFixture(ProxyFixture.endpoint("a", host.port()));
+                TestPeer client = fixture.client()) {
+            for (String text : List.of("first", "second", "third", "fourth")) {
+                client.write(ProxyFixture.post("claim", 800, "", text));
+                assertThat(client.read().text()).isEqualTo(text);
+            }
+        }
+    }
+
     @Test
     void closedPooledConnectionIsNotWrittenTo() throws Exception {
         try (ScriptedServer host = ScriptedServer.host(message -> ScriptedServer.ok("x"));
@@ -205,6 +237,7 @@
                 TestPeer client = fixture.client()) {
             client.write(claim());
             assertThat(client.read().status()).isEqualTo(200);
+            ProxyFixture.awaitReusableConnections();
             // The event loop reads the request in the same iteration as the close of the connection that it would be
             // sent on.
             CountDownLatch unblock = fixture.blockLoop();
@@ -216,12 +249,13 @@
     }
 
     @Test
-    void settledIdleConnectionIsPreferredToOneThatMayBeClosing() {
+    void settledIdleConnectionIsPreferredAndFreshOneIsNotSelected() {
         long millis = 1_000_000;
         ArrayDeque<Long> idle = new ArrayDeque<>(List.of(10 * millis, 20 * millis, 95 * millis, 99 * millis));
         assertThat(UpstreamPool.selectIdle(idle, at -> at, 100 * millis)).isEqualTo(20 * millis);
         assertThat(UpstreamPool.selectIdle(idle, at -> at, 200 * millis)).isEqualTo(99 * millis);
         assertThat(UpstreamPool.selectIdle(idle, at -> at, 30 * millis)).isEqualTo(10 * millis); // none has settled yet
+        assertThat(UpstreamPool.selectIdle(idle, at -> at, 19 * millis)).isNull(); // a second copy may be on its way
         assertThat(UpstreamPool.selectIdle(new ArrayDeque<Long>(), at -> at, 0)).isNull();
     }
 
@@ -230,6 +264,7 @@
         try (ScriptedServer host = ScriptedServer.host(message -> ScriptedServer.ok("x"));
                 ProxyFixture fixture = new ProxyFixture(ProxyFixture.endpoint("a", host.port()))) {
             fixture.call(claim());
+            ProxyFixture.awaitReusableConnections();
             fixture.call(claim());
             host.nextConnection();
             assertThat(host.hasMoreConnections()).isFalse();
--- a/src/test/java/rillyard/proxy/ForgottenConnectionTest.java
+++ b/src/test/java/rillyard/proxy/ForgottenConnectionTest.java
@@ -40,7 +40,7 @@
     }
 
     /** Has the proxy open a connection to each of the hosts and keep it idle. */
-    private void keepConnections(ProxyFixture fixture) throws IOException {
+    private void keepConnections(ProxyFixture fixture) throws Exception {
         List<TestPeer> clients = new ArrayList<>();
         for (int i = 0; i < HOSTS; i++) {
             TestPeer client = fixture.client();
@@ -52,6 +52,7 @@
             client.close();
         }
         attempts.clear();
+        ProxyFixture.awaitReusableConnections();
     }
 
     private TestPeer.Message callOnDroppedConnections(String request) throws Exception {
--- a/src/test/java/rillyard/proxy/ProxyFixture.java
+++ b/src/test/java/rillyard/proxy/ProxyFixture.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -19,6 +20,7 @@
 import rillyard.proxy.config.ProxyConfig;
 import rillyard.proxy.eventloop.SocketChannelFactory;
 import rillyard.proxy.logging.ProxyLog;
+import rillyard.proxy.upstream.UpstreamPool;
 import rillyard.trace.ProxyTrace;
 
 /** A client proxy on loopback, with a discovery service that sends the endpoint lists which the test announces. */
@@ -192,6 +194,11 @@
         return unblock;
     }
 
+    /** Waits until a connection that carried the response to an earlier request may be reused. */
+    static void awaitReusableConnections() throws InterruptedException {
+        Thread.sleep(TimeUnit.NANOSECONDS.toMillis(UpstreamPool.MIN_IDLE_NANOS) + 1);
+    }
+
     String log() {
         return log.toString(StandardCharsets.UTF_8);
     }
