A connection is idle once its response is written, not once it is queued

Cause: readNext made the connection idle when the last part had been passed to the channel; DescriptorBudget then closed it for a new one, and closeIdle discards what the proxy still holds. Ruled out: drain and timeouts, which ask isBusy and so count a response that is being written, and the hot restart, which closes after a response only.

Change: becomeIdle does nothing while the writer writes; the end of the last write makes the connection idle. The writer remembers which write is the last, as the end of one response ended the wait for the next.

--- a/src/main/java/rillyard/proxy/downstream/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientConnection.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpObject;
-import java.io.IOException;
 import rillyard.proxy.dispatch.RequestExchange;
 import rillyard.proxy.eventloop.PeekableSocketChannel;
 import rillyard.proxy.resources.DescriptorBudget;
@@ -27,7 +26,6 @@
     }
 
     private static final int REQUEST_TIMEOUT = 408;
-    private static final int BAD_GATEWAY = 502;
 
     private final ClientListener listener;
     private final PeekableSocketChannel channel;
@@ -36,6 +34,7 @@
     private final RequestReader reader;
     private final RequestBodyReceiver body;
     private final ConnectionTimeouts timeouts;
+    private final ClientFailureHandler failures;
     private State state = State.OPEN;
     private RequestExchange exchange;
     private boolean used;
@@ -60,6 +59,7 @@
         this.reader = new RequestReader(this, listener, channel, decoder, pipelineBuffer, writer, overflow);
         this.body = reader.body();
         this.timeouts = new ConnectionTimeouts(channel, decoder, body, writer);
+        this.failures = new ClientFailureHandler(this, channel, decoder, listener.log());
     }
 
     @Override
@@ -91,41 +91,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        if (cause instanceof IOException) {
-            channel.close();
-        } else {
-            onHandlerFailed(cause);
-        }
-    }
-
-    /**
-     * Handles an exception of a handler: fails the current request, unless part of its response is written, and closes
-     * the connection.
-     */
-    private void onHandlerFailed(Throwable cause) {
-        listener.log().error("client: connection failed", cause);
-        closeAfterResponse();
-        try {
-            if (!answerFailure()) {
-                channel.close();
-            }
-        } catch (RuntimeException | Error e) {
-            listener.log().error("client: error response not sent", e);
-            channel.close();
-        }
-    }
-
-    /** Answers a request whose handling has failed; returns false if the connection must be closed at once. */
-    private boolean answerFailure() {
-        if (exchange != null) {
-            exchange.onHandlerFailed();
-            return exchange == null;
-        }
-        if (awaitsResponse || (!isDiscardingInput() && decoder.isReceiving())) {
-            reject(BAD_GATEWAY); // also in place of a rejection whose write has thrown
-            return true;
-        }
-        return false;
+        failures.onException(cause);
     }
 
     // --- current request
@@ -152,6 +118,11 @@
         return exchange;
     }
 
+    /** Returns whether a request has been received whose response was not passed to the channel completely. */
+    boolean awaitsResponse() {
+        return awaitsResponse;
+    }
+
     /** Handles the end of a request whose response was written before. */
     void onRequestSkipped() {
         if (state != State.OPEN) {
@@ -186,8 +157,8 @@
     void onResponseWritten(ChannelFuture written) {
         exchange = null;
         awaitsResponse = false;
-        if (hasFailedInHandler(written)) {
-            onHandlerFailed(written.cause());
+        if (ClientFailureHandler.hasFailedInHandler(written)) {
+            failures.onHandlerFailed(written.cause());
             return;
         }
         if (body.isUploading() && !isDiscardingInput()) {
@@ -202,11 +173,6 @@
         readNext();
     }
 
-    /** Returns whether a write has already failed, and in a handler rather than by an I/O error of the socket. */
-    static boolean hasFailedInHandler(ChannelFuture written) {
-        return written.cause() != null && !(written.cause() instanceof IOException);
-    }
-
     /** Continues with the input behind a request. An exception there does not concern that request. */
     private void readNext() {
         try {
@@ -214,7 +180,7 @@
                 becomeIdle();
             }
         } catch (RuntimeException | Error e) {
-            onHandlerFailed(e);
+            failures.onHandlerFailed(e);
         }
     }
 
@@ -300,9 +266,19 @@
 
     // --- idle and busy
 
+    /** Records that there is no request; a connection whose response is being written becomes idle at its end. */
     private void becomeIdle() {
-        timeouts.onIdle();
-        listener.descriptors().setClientIdle(this, true);
+        if (!writer.isWriting()) {
+            timeouts.onIdle();
+            listener.descriptors().setClientIdle(this, true);
+        }
+    }
+
+    /** Handles the end of the write of a response, behind which no other is being written. */
+    void onWritingEnded() {
+        if (channel.isActive() && !isBusy()) {
+            becomeIdle();
+        }
     }
 
     /** Returns whether a request is being received or executed, or its response is not written yet. */
--- a/src/main/java/rillyard/proxy/downstream/ResponseWriter.java
+++ b/src/main/java/rillyard/proxy/downstream/ResponseWriter.java
@@ -25,6 +25,8 @@
     private final Channel channel;
     private long blockedSinceNanos;
     private long writingSinceNanos;
+    /** Null unless the end of a response is being written. */
+    private ChannelFuture lastWrite;
 
     ResponseWriter(ClientConnection connection, Channel channel) {
         this.connection = connection;
@@ -106,11 +108,20 @@
         connection.resumeUpload();
     }
 
-    /** Regards the response as being written until {@code written} is done. */
+    /** Regards the response as being written until {@code written}, its last write, is done. */
     void awaitWritten(ChannelFuture written) {
         if (!written.isDone()) {
+            lastWrite = written;
             writingSinceNanos = System.nanoTime();
-            written.addListener(future -> writingSinceNanos = 0);
+            written.addListener(future -> onWritten(written));
+        }
+    }
+
+    private void onWritten(ChannelFuture written) {
+        if (written == lastWrite) { // else a later response is being written
+            lastWrite = null;
+            writingSinceNanos = 0;
+            connection.onWritingEnded();
         }
     }
 
@@ -152,7 +163,7 @@
         if (body != null) {
             written.addListener(future -> body.release());
         }
-        if (ClientConnection.hasFailedInHandler(written)) {
+        if (ClientFailureHandler.hasFailedInHandler(written)) {
             throw new IllegalStateException("response: not written", written.cause());
         }
         return written;
--- a/src/test/java/rillyard/proxy/ConnectionEndTest.java
+++ b/src/test/java/rillyard/proxy/ConnectionEndTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.Channel;
 import java.io.IOException;
 import java.net.SocketException;
 import java.util.concurrent.Callable;
@@ -13,6 +14,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import rillyard.proxy.eventloop.FaultInjectingChannels;
 
 /**
  * Guards against requests that are sent, retried or left open after their client, their idempotency window or their
@@ -263,6 +265,35 @@
         }
     }
 
+    /** Guards a response of which a part is still in the proxy against the close of idle connections for new ones. */
+    @Test
+    void connectionWhoseResponseIsBeingWrittenIsNotClosedForNewOnes() throws Exception {
+        FaultInjectingChannels channels = new FaultInjectingChannels();
+        try (ScriptedServer host = servingHost();
+                ProxyFixture fixture = new ProxyFixture(
+                        channels,
+                        config -> ((ObjectNode) config.get("limits")).put("sockets", 256),
+                        ProxyFixture.endpoint("a", host.port()));
+                TestPeer client = fixture.client()) {
+            Channel accepted = channels.nextAccepted();
+            channels.holdWritesToClients(true);
+            client.write(ProxyFixture.post("claim", 20_000, "", "first"));
+            host.nextRequest();
+            await(fixture, () -> fixture.proxy.openRequests() == 0);
+            TestPeer[] others = new TestPeer[80];
+            for (int i = 0; i < others.length; i++) {
+                others[i] = fixture.client();
+                channels.nextAccepted();
+            }
+            channels.holdWritesToClients(false);
+            accepted.flush();
+            assertThat(client.read().text()).isEqualTo("x");
+            for (TestPeer peer : others) {
+                peer.close();
+            }
+        }
+    }
+
     /**
      * Guards against a drain that waits for the deadline of an open request: SIGKILL comes 3.7 s after SIGTERM at the
      * latest, whatever the longest deadline is.
--- a/src/test/java/rillyard/proxy/PipelinedDisconnectTest.java
+++ b/src/test/java/rillyard/proxy/PipelinedDisconnectTest.java
@@ -90,7 +90,7 @@
             Thread.sleep(300); // the proxy buffers as much as it can meanwhile
             release.countDown();
             for (int i = 0; i < count; i++) {
-                assertThat(client.read().text()).isEqualTo(String.format("%08d", i));
+                assertThat(client.read().text()).as(fixture::log).isEqualTo(String.format("%08d", i));
             }
             writer.join();
         }
--- a/src/test/java/rillyard/proxy/eventloop/FaultInjectingChannels.java
+++ b/src/test/java/rillyard/proxy/eventloop/FaultInjectingChannels.java
@@ -48,6 +48,7 @@
     private volatile Throwable endOfStreamFailure;
     private volatile Error acceptError;
     private volatile int closeFailurePort = -1;
+    private volatile boolean holdsWritesToClients;
     private volatile int bytesPerRead = Integer.MAX_VALUE;
     private volatile int bytesPerWrite = Integer.MAX_VALUE;
 
@@ -124,6 +125,11 @@
         faults = Map.of();
     }
 
+    /** Makes writes to clients transfer nothing, as if their send buffers were full, or ends that. */
+    public void holdWritesToClients(boolean hold) {
+        holdsWritesToClients = hold;
+    }
+
     /** Limits the number of bytes that one system call reads or writes. */
     public void limitTransfers(int readBytes, int writtenBytes) {
         bytesPerRead = readBytes;
@@ -241,6 +247,9 @@
 
         @Override
         protected void doWrite(ChannelOutboundBuffer pending) throws Exception {
+            if (holdsWritesToClients && parent() != null) {
+                return; // the next flush tries again
+            }
             if (bytesPerWrite == Integer.MAX_VALUE) {
                 super.doWrite(pending);
                 return;
