A host may read nothing of a body for the request's timeout, not for 5 s

Cause: a request's time begins with its last byte; while the host accepts nothing the proxy reads nothing, does not see that byte, and the only limit was 5 s without a read, whatever the timeout. Ruled out: the time of the connect, and a slow client (all was acknowledged).

Change: the limit is the request's timeout, 0.25 s at least (longer than hosts pause) and 5 s at most, from the last read on.

--- a/src/main/java/rillyard/proxy/downstream/ConnectionTimeouts.java
+++ b/src/main/java/rillyard/proxy/downstream/ConnectionTimeouts.java
@@ -27,8 +27,11 @@
     /** Lowest rate at which a buffered body may arrive; clients send and read bodies at 64 kB per second. */
     private static final double MIN_BYTES_PER_SECOND = 8_192;
 
-    /** Longest time for which a host may read nothing of a forwarded body, whose request has no deadline yet. */
-    private static final long HOST_STALL_NANOS = 5_000_000_000L;
+    /** Longest time for which a host may read nothing of a forwarded body. */
+    private static final long MAX_HOST_STALL_NANOS = 5_000_000_000L;
+
+    /** Time for which a host may always pause, however short the request's timeout is. */
+    private static final long MIN_HOST_STALL_NANOS = 250_000_000L;
 
     /** Longest time for which a client may read nothing of its response before it is regarded as gone. */
     private static final long CLIENT_STALL_NANOS = 30_000_000_000L;
@@ -39,6 +42,8 @@
     /** Longest time for which a connection may be idle, as it holds a descriptor; clients are allowed 2 s. */
     private static final long MAX_IDLE_NANOS = 2_100_000_000L;
 
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final Channel channel;
     private final ClientRequestDecoder decoder;
     private final RequestBodyReceiver body;
@@ -67,7 +72,7 @@
         boolean hasExchange = connection.hasExchange();
         if (body.isUploading()
                 && !channel.config().isAutoRead()
-                && nowNanos - decoder.lastReadNanos() > HOST_STALL_NANOS) {
+                && nowNanos - decoder.lastReadNanos() > hostStallNanos()) {
             return Expiry.HOST_STALLED;
         }
         if (!connection.isDiscardingInput() && isRequestSlow(nowNanos, hasExchange)) {
@@ -80,6 +85,15 @@
         return !connection.isBusy() && nowNanos - idleSinceNanos > MAX_IDLE_NANOS ? Expiry.IDLE : Expiry.NONE;
     }
 
+    /**
+     * Returns how long a host may read nothing of the body: the request's timeout, as the client may have sent all of it
+     * by the last read, and its time begins with its last byte.
+     */
+    private long hostStallNanos() {
+        long timeoutNanos = (long) (body.timeoutMillis() * NANOS_PER_MILLI);
+        return Math.max(MIN_HOST_STALL_NANOS, Math.min(MAX_HOST_STALL_NANOS, timeoutNanos));
+    }
+
     /** Returns whether the client sends its request too slowly; delays by the proxy or by a host do not count. */
     private boolean isRequestSlow(long nowNanos, boolean hasExchange) {
         long receivingSinceNanos = decoder.receivingSinceNanos();
--- a/src/test/java/rillyard/proxy/StreamingBodyTest.java
+++ b/src/test/java/rillyard/proxy/StreamingBodyTest.java
@@ -307,6 +307,30 @@
         }
     }
 
+    /** Guards a long request to a host that reads nothing of it: the client may have sent all, and its time passes. */
+    @Test
+    void uploadThatHostDoesNotReadEndsInTime() throws Exception {
+        try (ScriptedServer host = new ScriptedServer(peer -> new CountDownLatch(1).await());
+                ProxyFixture fixture = new ProxyFixture(ProxyFixture.endpoint("a", host.port()));
+                TestPeer client = fixture.client()) {
+            Thread writer = new Thread(() -> {
+                try {
+                    client.write(upload(32 * MIB)); // more than the kernel takes for the host and from the client
+                    client.write(randomBytes(32 * MIB));
+                } catch (java.io.IOException e) {
+                    // the response can be read all the same
+                }
+            });
+            long sentAtNanos = System.nanoTime();
+            writer.start();
+            assertThat(client.read().status()).isEqualTo(503);
+            long elapsedMillis = (System.nanoTime() - sentAtNanos) / 1_000_000;
+            assertThat(elapsedMillis)
+                    .isBetween(800L, 1_300L); // its timeout, and the 500 ms past which it counts as lost
+            writer.join(); // the rest is read and discarded
+        }
+    }
+
     @Test
     void uploadWithoutHostIsRejectedAtOnce() throws Exception {
         try (ProxyFixture fixture = new ProxyFixture();
