The close of a client is seen while its long request waits for a host

Cause: startUpload paused reading until a host had accepted a part, and a close is only seen behind the bytes before it. With 60 kB, which are read whole, there was no such attempt: the retry itself is not at fault.

Change: while no host accepts anything of the body, reading goes on up to 1 MiB within the memory for bodies, as for pipelined requests.

--- a/src/main/java/rillyard/proxy/dispatch/StreamingUpload.java
+++ b/src/main/java/rillyard/proxy/dispatch/StreamingUpload.java
@@ -63,11 +63,16 @@
         return complete;
     }
 
-    /** Returns whether more of the body should be read from the client now. */
+    /** Returns whether more of the body should be read from the client now, as its host accepts it. */
     public boolean hasCapacity() {
         return hostChannel != null && hostChannel.isWritable();
     }
 
+    /** Returns the number of bytes that are buffered until a host accepts them, or -1 if one is accepting them. */
+    public long bufferedBytes() {
+        return hostChannel == null && !consumed ? prefix.size() : -1;
+    }
+
     /** Writes the head and the buffered part; returns the future of the write of the body's last byte. */
     ChannelFuture writeTo(Channel channel, HttpRequest head, HttpHeaders headers) {
         if (contentLength >= 0) {
@@ -92,7 +97,7 @@
     /** Forwards or buffers a part of the body; the caller keeps its own reference. */
     public void append(ByteBuf bytes) {
         if (hostChannel == null) {
-            prefix.append(bytes); // read before reading was paused: a few reads at most
+            prefix.append(bytes);
             return;
         }
         consumed = true;
--- a/src/main/java/rillyard/proxy/downstream/RequestBodyReceiver.java
+++ b/src/main/java/rillyard/proxy/downstream/RequestBodyReceiver.java
@@ -141,9 +141,7 @@
         }
         if (state == State.UPLOADING) {
             upload.append(bytes);
-            if (!upload.hasCapacity()) {
-                channel.config().setAutoRead(false);
-            }
+            pauseUploadIfNeeded();
             return AppendResult.CONTINUE;
         }
         return buffer(bytes);
@@ -227,6 +225,23 @@
     void startUpload(StreamingUpload newUpload) {
         upload = newUpload;
         state = State.UPLOADING;
+        pauseUploadIfNeeded();
+    }
+
+    /**
+     * Pauses reading unless the host accepts more. While the request waits for a host, reading goes on up to a limit:
+     * only so is a close behind the body noticed, after which no attempt may begin.
+     */
+    private void pauseUploadIfNeeded() {
+        if (upload.hasCapacity()) {
+            return;
+        }
+        long bufferedBytes = upload.bufferedBytes();
+        boolean mayBuffer =
+                bufferedBytes >= 0 && bufferedBytes < PipelineBuffer.MAX_BYTES && !memory.isExhausted(bufferedBytes);
+        if (!mayBuffer) {
+            channel.config().setAutoRead(false);
+        }
     }
 
     /** Completes a forwarded request, whose last byte has been received. */
--- a/src/main/java/rillyard/proxy/downstream/RequestReader.java
+++ b/src/main/java/rillyard/proxy/downstream/RequestReader.java
@@ -245,7 +245,6 @@
             connection.reject(CONFLICT);
             return;
         }
-        channel.config().setAutoRead(false);
         StreamingUpload upload = new StreamingUpload(start, HttpUtil.getContentLength(head, -1L));
         body.startUpload(upload);
         boolean hasCapacity = hasCapacity();
--- a/src/test/java/rillyard/proxy/ConnectionEndTest.java
+++ b/src/test/java/rillyard/proxy/ConnectionEndTest.java
@@ -128,19 +128,26 @@
         }
     }
 
-    @Test
-    void clientDisconnectDuringConnectStartsNoAttempt() throws Exception {
+    /** Guards a request whose client has left, also one with a long body, against an attempt that begins later. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 120_000, 900_000})
+    void clientDisconnectDuringConnectStartsNoAttempt(int bodyBytes) throws Exception {
         try (LateConnectServer lateServer = new LateConnectServer();
                 ProxyFixture fixture =
                         new ProxyFixture( // only the disconnect can end the attempt, and it may not be cancelled
                                 limits(limits ->
                                         limits.put("connectTimeout", 600_000).put("cancel", false)),
                                 ProxyFixture.endpoint("a", lateServer.port()))) {
+            long disconnectedAtNanos;
             try (TestPeer client = fixture.client()) {
-                client.write(ProxyFixture.post("claim", 600_000, "", "x"));
+                client.write(ProxyFixture.post("claim", 600_000, "", "x".repeat(bodyBytes)));
                 awaitRequests(fixture, 1);
+                disconnectedAtNanos = System.nanoTime();
             }
             awaitRequests(fixture, 0);
+            assertThat((System.nanoTime() - disconnectedAtNanos) / 1_000_000)
+                    .as("ms after which an attempt would have begun too late")
+                    .isLessThan(100);
         }
     }
 
