A connection with pipelined input does not become idle when a response is written

Need: found by reading again. The end of a write may come while pipelined input waits for the next turn of the loop; the connection was then marked as idle, so that it could be closed for a new one before that input is handled.

Change: onWritingEnded asks for pipelined input as well, as readNext does.

No test forces this crossing.

--- a/src/main/java/rillyard/proxy/downstream/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientConnection.java
@@ -276,7 +276,7 @@
 
     /** Handles the end of the write of a response, behind which no other is being written. */
     void onWritingEnded() {
-        if (channel.isActive() && !isBusy()) {
+        if (channel.isActive() && !isBusy() && !reader.hasPipelinedInput()) {
             becomeIdle();
         }
     }
--- a/src/main/java/rillyard/proxy/downstream/RequestReader.java
+++ b/src/main/java/rillyard/proxy/downstream/RequestReader.java
@@ -75,9 +75,14 @@
         }
     }
 
+    /** Returns whether input has been received that no request has taken. */
+    boolean hasPipelinedInput() {
+        return pipelineBuffer.hasParts() || pipelineBuffer.isHoldingBytes();
+    }
+
     /** Handles pipelined input, as the previous response has been written; returns false if there is none. */
     boolean readPipelined() {
-        if (!pipelineBuffer.hasParts() && !pipelineBuffer.isHoldingBytes()) {
+        if (!hasPipelinedInput()) {
             return false;
         }
         while (!connection.hasExchange() && pipelineBuffer.hasParts()) {
