An accept that fails during the warm-up does not end its event loop

What was seen: DescriptorLimitIT failed once, started at a lower priority beside other tests: the log had the stack trace of a NoClassDefFoundError on the warm-up's loop.

Cause: clients had used up the descriptors while the warm-up ran. Its host had no handler for a failed accept, so that Netty logged it by the JDK's logging, which opens the time zone file for its first line, failed for want of a descriptor, and took the loop's thread with it.

Change: the warm-up's host uses AcceptBackoff, as the listener and the admin endpoint do.

Shown: the trace itself; DescriptorLimitIT and WarmupTest pass, one run each. No test forces the crossing.

--- a/src/main/java/rillyard/proxy/lifecycle/Warmup.java
+++ b/src/main/java/rillyard/proxy/lifecycle/Warmup.java
@@ -35,6 +35,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import rillyard.admin.AcceptBackoff;
 import rillyard.balancer.Settings;
 import rillyard.proxy.ClientProxy;
 import rillyard.proxy.config.ProxyConfig;
@@ -116,6 +117,7 @@
         return (InetSocketAddress) new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
+                .handler(new AcceptBackoff("warm-up", line -> {}))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
