LoadRunTest runs generator and hosts once before it measures times

Change: a run with a pause and one with clients that leave, twice each, before all tests. Bounds and numbers stay as they are.

--- a/src/test/java/rillyard/loadgen/LoadRunTest.java
+++ b/src/test/java/rillyard/loadgen/LoadRunTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -37,6 +38,7 @@
             "[[class]]\nname = 'c'\nsemantics = 'idempotent'\naim_ms = 400\ndeadline_ms = 20000\n";
 
     private static final int MAX_RUNS = 6;
+    private static final int WARM_UP_RUNS = 2;
 
     @TempDir
     Path folder;
@@ -48,8 +50,30 @@
                 + "\n" + faults;
     }
 
-    /** Runs a plan against a test cluster of one host. */
+    /**
+     * Runs generator and hosts through a pause and with clients that leave, before anything is measured: code that runs
+     * for the first time takes longer than the times that the tests measure.
+     */
+    @BeforeAll
+    static void warmUp(@TempDir Path warmUpFolder) throws Exception {
+        String hosts = hostsToml(
+                "{ dist = 'constant', mean_ms = 1 }",
+                "[[fault]]\nkind = 'pause'\nhost = 's-0'\nat_s = 0.3\nfor_s = 0.7\n");
+        for (String tryShare : List.of("[1, 1]", "[0.02, 0.02]")) {
+            for (int i = 0; i < WARM_UP_RUNS; i++) {
+                String plan = "lateness_ms = 5000\n" + CLASS_TOML + "[clients]\nretries = 0\ntry_share = " + tryShare
+                        + "\n[[shape]]\nkind = 'steady'\nfor_s = 1.2\nrate = 600\n";
+                runAgainstCluster(warmUpFolder, hosts, plan);
+            }
+        }
+    }
+
     private RunReport runAgainstCluster(String hosts, String plan) throws Exception {
+        return runAgainstCluster(folder, hosts, plan);
+    }
+
+    /** Runs a plan against a test cluster of one host. */
+    private static RunReport runAgainstCluster(Path folder, String hosts, String plan) throws Exception {
         PrintStream errors = System.err;
         try (RequestLogWriter hostRequestLog =
                         RequestLogWriter.open(folder.resolve("h"), new LogHeader("hosts", 1, 1));
