Processes of tests bind port 0 and tell their port; the proxy logs where it listens

Need: tests chose a port, closed it and gave it to the process, which another socket could take first (SlowStartIT: address already in use, once).

Change: the proxy logs 'listener: listening, address=IP:PORT'.

--- a/src/main/java/rillyard/childprocess/ProxyProcess.java
+++ b/src/main/java/rillyard/childprocess/ProxyProcess.java
@@ -10,6 +10,8 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** A proxy in a child process, started as a platform would start it. */
 public final class ProxyProcess implements AutoCloseable {
@@ -26,14 +28,18 @@
     private static final long READY_TIMEOUT_NANOS = 60_000_000_000L;
     private static final int HEALTH_TIMEOUT_MS = 1_000;
     private static final int HEALTH_INTERVAL_MS = 10;
-    private static final int MAX_STARTS = 3;
     private static final byte[] HEALTH_REQUEST =
             "GET /_health HTTP/1.1\r\nHost: proxy\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] HEALTHY_RESPONSE = "HTTP/1.1 200".getBytes(StandardCharsets.US_ASCII);
 
+    /** Any free port of loopback, which the proxy itself binds and writes to its log. */
+    public static final InetSocketAddress ANY_PORT = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+    private static final Pattern LISTENING = Pattern.compile("listening, address=[^\\s:]+:(\\d+)");
+
     private final ChildProcess process;
-    private final InetSocketAddress address;
     private final Path log;
+    private InetSocketAddress address;
 
     private ProxyProcess(ChildProcess process, InetSocketAddress address, Path log) {
         this.process = process;
@@ -51,18 +57,14 @@
     public static ProxyProcess start(Path config, Path log) throws IOException, InterruptedException {
         LaunchCommand launch =
                 LaunchCommand.self().with(List.of("-XX:+UseSerialGC", "-Xmx64m", "-XX:MaxDirectMemorySize=140m"));
-        IOException failure = null;
-        for (int i = 0; i < MAX_STARTS; i++) { // another process may take the free port first
-            ProxyProcess proxy = launch(launch, config, freeAddress(), log);
-            try {
-                proxy.await(State.READY);
-                return proxy;
-            } catch (IOException e) {
-                proxy.close();
-                failure = e;
-            }
+        ProxyProcess proxy = launch(launch, config, ANY_PORT, log);
+        try {
+            proxy.await(State.READY);
+            return proxy;
+        } catch (IOException e) {
+            proxy.close();
+            throw e;
         }
-        throw failure;
     }
 
     /**
@@ -70,8 +72,8 @@
      *
      * @param launch how the program is started
      * @param config file with its configuration
-     * @param listen address on which it listens
-     * @param log file for its output
+     * @param listen address on which it listens; {@link #ANY_PORT} only for a build that logs its address
+     * @param log file for its output, which is overwritten
      * @throws IOException if the process could not be started
      */
     public static ProxyProcess launch(LaunchCommand launch, Path config, InetSocketAddress listen, Path log)
@@ -81,7 +83,7 @@
         return new ProxyProcess(ChildProcess.start(command, log, log, "proxy"), listen, log);
     }
 
-    /** Returns a loopback address whose port was free a moment ago. */
+    /** Returns a loopback address whose port was free a moment ago, and may be taken when it is used. */
     public static InetSocketAddress freeAddress() throws IOException {
         InetAddress loopback = InetAddress.getLoopbackAddress();
         try (ServerSocket server = new ServerSocket(0, 1, loopback)) {
@@ -96,7 +98,7 @@
      */
     public void await(State required) throws IOException, InterruptedException {
         long deadlineNanos = System.nanoTime() + READY_TIMEOUT_NANOS;
-        State current = state(address);
+        State current = state();
         while (current.compareTo(required) < 0) {
             if (!process.isAlive() || System.nanoTime() > deadlineNanos) {
                 String output = Files.exists(log) ? Files.readString(log) : "";
@@ -105,7 +107,21 @@
             }
             // More frequent health checks would themselves warm the proxy up, or take its CPU time.
             Thread.sleep(current == State.ABSENT ? 1 : HEALTH_INTERVAL_MS);
-            current = state(address);
+            current = state();
+        }
+    }
+
+    private State state() throws IOException {
+        if (address.getPort() == 0) {
+            readPort();
+        }
+        return address.getPort() == 0 ? State.ABSENT : state(address);
+    }
+
+    private void readPort() throws IOException {
+        Matcher listening = LISTENING.matcher(Files.exists(log) ? Files.readString(log) : "");
+        if (listening.find()) {
+            address = new InetSocketAddress(address.getAddress(), Integer.parseInt(listening.group(1)));
         }
     }
 
@@ -126,7 +142,7 @@
         }
     }
 
-    /** Returns the address on which the proxy listens. */
+    /** Returns the address on which the proxy listens; with {@link #ANY_PORT} only after {@link #await}. */
     public InetSocketAddress address() {
         return address;
     }
--- a/src/main/java/rillyard/proxy/ClientProxy.java
+++ b/src/main/java/rillyard/proxy/ClientProxy.java
@@ -149,6 +149,8 @@
     public void listen() throws ConfigException {
         try {
             listener.listen(group, channels, config);
+            log.info("listener: listening, address=" + config.listen().getHostString() + ":"
+                    + address().getPort());
         } catch (Exception e) {
             stopGroup();
             if (e instanceof BindException || e instanceof SocketException) {
