A silent connection of a fault-injection run drops what its sender has given up

Cause: traced by the request log. Each late receipt is at s-1, from m1, within 30 ms of the end of its silence (7.0 s), 0.8 to 3 s after the proxy had closed that connection; by then the request had been served elsewhere. The relay held the bytes, or had not connected to the host yet, and asked isActive() at the end of the silence. With the JDK's selector and reads off a close is not noticed, so it delivered what the proxy had given up.

Change: after a silence the relay reads each side to its end before it forwards, and drops what was held if its sender has closed. The JDK's selector stays in use on arm64.

--- a/src/main/java/rillyard/faultinjection/RelayedConnection.java
+++ b/src/main/java/rillyard/faultinjection/RelayedConnection.java
@@ -1,5 +1,7 @@
 package rillyard.faultinjection;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
@@ -11,12 +13,16 @@
  * A relayed connection: the process's side (downstream) and the host's side (upstream). Confined to the event loop.
  */
 final class RelayedConnection {
+    /** Time (ms) for a read to show that the sender of a held piece has closed its side during a silence. */
+    private static final long CLOSE_CHECK_MS = 20;
+
     private final SocketChannel downstream;
     private final TcpRelay relay;
     private final Forwarder toUpstream;
     private SocketChannel upstream;
     private Forwarder toDownstream;
     private boolean connecting;
+    private boolean wasSilent;
 
     RelayedConnection(SocketChannel downstream, TcpRelay relay) {
         this.downstream = downstream;
@@ -40,22 +46,31 @@
         resume();
     }
 
+    /** Records that the connection is silent until the next change. */
+    void onSilent() {
+        wasSilent = true;
+    }
+
     private void resume() {
-        toUpstream.resume();
-        toDownstream.resume();
+        boolean checksForClose = wasSilent;
+        wasSilent = false;
+        toUpstream.resume(checksForClose);
+        toDownstream.resume(checksForClose);
     }
 
     /** Applies a change of the active faults: resumes, connects, closes or resets the connection. */
     void onChange(ConnectionFaults.Effect effect) {
         if (effect.reset()) {
             reset();
-        } else if (!effect.silent() && upstream == null) {
+        } else if (effect.silent()) {
+            onSilent();
+        } else if (upstream == null) {
             if (!connecting) {
                 relay.connect(this);
             }
-        } else if (!effect.silent() && downstream.isActive() && upstream.isActive()) {
+        } else if (downstream.isActive() && upstream.isActive()) {
             resume();
-        } else if (!effect.silent()) {
+        } else {
             downstream.close();
             upstream.close();
         }
@@ -89,6 +104,7 @@
     private final class Forwarder extends ChannelInboundHandlerAdapter {
         private final SocketChannel source;
         private boolean forwarding;
+        private boolean holding;
         private Object pending;
         private boolean sourceClosed;
 
@@ -101,25 +117,44 @@
             return source == downstream ? upstream : downstream;
         }
 
-        /** Forwards a piece that was read before a silence, or reads the next one. */
-        void resume() {
-            if (pending != null) {
+        /**
+         * Reads the next piece.
+         *
+         * @param checksForClose whether pieces are held for a moment, in case that their sender has closed during a
+         *     silence: some transports report a close only to a read
+         */
+        void resume(boolean checksForClose) {
+            if (checksForClose) {
+                holding = true;
+                source.read();
+                source.eventLoop().schedule(this::endHold, CLOSE_CHECK_MS, TimeUnit.MILLISECONDS);
+            } else if (!forwarding) {
+                source.read();
+            }
+        }
+
+        private void endHold() {
+            holding = false;
+            if (pending != null && !relay.effect().silent()) {
                 Object piece = pending;
                 pending = null;
                 forwardDelayed(piece);
-            } else if (!forwarding) {
-                source.read();
             }
         }
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object piece) {
             forwarding = true;
-            if (relay.effect().silent()) {
-                pending = piece; // the read was requested before the silence began
+            if (pending != null) {
+                pending = Unpooled.wrappedBuffer((ByteBuf) pending, (ByteBuf) piece);
+            } else if (holding || relay.effect().silent()) {
+                pending = piece; // the read may have been requested before the silence began
             } else {
                 forwardDelayed(piece);
             }
+            if (holding) {
+                source.read(); // to the end of the input
+            }
         }
 
         private void forwardDelayed(Object piece) {
--- a/src/main/java/rillyard/faultinjection/TcpRelay.java
+++ b/src/main/java/rillyard/faultinjection/TcpRelay.java
@@ -102,7 +102,9 @@
         }
         RelayedConnection connection = new RelayedConnection(channel, this);
         connections.add(connection);
-        if (!effect.silent()) {
+        if (effect.silent()) {
+            connection.onSilent();
+        } else {
             connect(connection);
         }
     }
