No attempt begins for a client whose input has been unread for 80 ms

Cause: a close is seen only by reading up to it. Reading paused at 1 MiB of pipelined input, without memory for bodies, and at 1 MiB of a body that waited for its host; attempts and retries went on meanwhile.

Change: pipelined input is always read to its end. What can't be held (2 MiB a connection, and the memory for bodies) is discarded; the requests that are held are answered, and the first discarded one gets 503 and the end of the connection. Where reading has to pause, as a body can't be discarded, the event loop asks before each attempt, when it is chosen and when it is written, whether the client's input has been unread for over 80 ms; then the request ends: rejected where no host can have executed it, else failed. A first attempt waits up to 0.1 s for the input to be read.

Why it works: an attempt begins only if the input was read to its end at most 80 ms ago, so a close before that would have been seen.

--- a/src/main/java/rillyard/proxy/dispatch/AttemptList.java
+++ b/src/main/java/rillyard/proxy/dispatch/AttemptList.java
@@ -40,6 +40,16 @@
         return false;
     }
 
+    /** Returns whether a host may have executed the request, judging by all attempts. */
+    boolean mayHaveExecuted() {
+        for (int i = 0; i < attempts.size(); i++) {
+            if (attempts.get(i).mayHaveHadEffect()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Cancels the attempt with this number, counted from 0. */
     void cancel(int number) {
         attempts.get(number).cancel();
--- a/src/main/java/rillyard/proxy/dispatch/RequestExchange.java
+++ b/src/main/java/rillyard/proxy/dispatch/RequestExchange.java
@@ -134,7 +134,10 @@
     /** Returns whether an attempt that must not be written after {@code notAfterMillis} may be written now. */
     boolean mayWriteAttempt(double notAfterMillis) {
         double nowMillis = driver.nowMillis();
-        return !response.isDecided() && nowMillis < notAfterMillis && nowMillis < deadlineAtMillis;
+        return !response.isDecided()
+                && nowMillis < notAfterMillis
+                && nowMillis < deadlineAtMillis
+                && client.isClientPresent();
     }
 
     /** Starts an attempt; for the times see {@link UpstreamAttempt#start}. */
@@ -144,11 +147,29 @@
             attempt.requireNewConnection(); // the host may have dropped all idle connections
         }
         attempts.add(attempt);
-        if (attemptTimeoutMillis >= 0 && mayStartAttempt(host)) {
+        boolean mayStart = attemptTimeoutMillis >= 0 && mayStartAttempt(host);
+        if (mayStart && client.isClientPresent()) {
             attempt.start(attemptTimeoutMillis, notAfterMillis);
+            return;
+        }
+        attempt.onAbandonedBeforeSend();
+        if (mayStart) {
+            endForUnreadInput();
+        }
+    }
+
+    /** Ends the request, as its client may have left: its input is unread, and so would be the end of its connection. */
+    public void endForUnreadInput() {
+        if (response.isDecided()) {
+            return;
+        }
+        driver.log().info(() -> "request: ended, reason=unread_input id=" + requestId());
+        if (attempts.mayHaveExecuted()) {
+            fail();
         } else {
-            attempt.onAbandonedBeforeSend();
+            reject(0);
         }
+        driver.onClientDisconnected(this);
     }
 
     /** Returns whether the attempt that was added last may be started. */
--- a/src/main/java/rillyard/proxy/dispatch/ResponseReceiver.java
+++ b/src/main/java/rillyard/proxy/dispatch/ResponseReceiver.java
@@ -53,6 +53,12 @@
      */
     void failResponse();
 
+    /**
+     * Returns whether the client was connected a moment ago. It may have left if its connection has ended, or if input
+     * has been unread for a while, as the end of a connection is seen only behind it.
+     */
+    boolean isClientPresent();
+
     /** Resumes reading the body of the request, as the host accepts more of it. */
     void resumeRequestBody();
 }
--- a/src/main/java/rillyard/proxy/dispatch/UpstreamAttempt.java
+++ b/src/main/java/rillyard/proxy/dispatch/UpstreamAttempt.java
@@ -32,6 +32,9 @@
     private Future<?> timeoutTimer;
     private Future<?> writeDeadlineTimer;
     private LoadReport loadReport;
+    /** Null while the attempt is open. */
+    private AttemptOutcome outcome;
+
     /** Null until the head of a successful response has been received. */
     private HostResponse response;
 
@@ -78,6 +81,11 @@
         return number;
     }
 
+    /** Returns whether the host may have executed the request, as far as is known by now. */
+    boolean mayHaveHadEffect() {
+        return outcome == null ? mayHaveExecuted() : !outcome.provesNotExecuted();
+    }
+
     // --- the request
 
     @Override
@@ -211,26 +219,27 @@
     // --- the outcome
 
     /** Ends the attempt and its use of the connection; does nothing if the attempt has an outcome. */
-    void finish(AttemptOutcome outcome) {
+    void finish(AttemptOutcome ended) {
         if (!open) {
             return;
         }
         open = false;
         try {
-            logFailure(outcome);
+            logFailure(ended);
             driver.upstreams().release(this);
         } finally {
-            reportEnd(outcome); // after an exception as well: the request can't end before its attempts
+            reportEnd(ended); // after an exception as well: the request can't end before its attempts
         }
     }
 
-    private void reportEnd(AttemptOutcome outcome) {
+    private void reportEnd(AttemptOutcome ended) {
+        outcome = ended;
         cancel(timeoutTimer);
         cancel(writeDeadlineTimer);
         if (response != null) {
             response.release();
         }
-        exchange.onAttemptEnded(this, outcome, driver.nowMillis() - sentAtMillis, loadReport);
+        exchange.onAttemptEnded(this, ended, driver.nowMillis() - sentAtMillis, loadReport);
     }
 
     private static void cancel(Future<?> timer) {
@@ -239,22 +248,22 @@
         }
     }
 
-    private void logFailure(AttemptOutcome outcome) {
-        if (outcome == AttemptOutcome.TIMEOUT
-                || outcome == AttemptOutcome.RESET
-                || outcome == AttemptOutcome.CONNECT_FAILED) {
-            driver.log().info(() -> describe(outcome));
+    private void logFailure(AttemptOutcome ended) {
+        if (ended == AttemptOutcome.TIMEOUT
+                || ended == AttemptOutcome.RESET
+                || ended == AttemptOutcome.CONNECT_FAILED) {
+            driver.log().info(() -> describe(ended));
         }
     }
 
-    private String describe(AttemptOutcome outcome) {
+    private String describe(AttemptOutcome failure) {
         String received = "nothing";
         if (response != null) {
             received = response.progress();
         } else if (connection() == null) {
             received = "no_connection";
         }
-        return "attempt: failed, host=" + host().name() + " outcome=" + outcome + " elapsed_ms="
+        return "attempt: failed, host=" + host().name() + " outcome=" + failure + " elapsed_ms="
                 + Math.round(driver.nowMillis() - sentAtMillis) + " received=" + received;
     }
 }
--- a/src/main/java/rillyard/proxy/downstream/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientConnection.java
@@ -27,6 +27,9 @@
 
     private static final int REQUEST_TIMEOUT = 408;
 
+    /** Time for which input may be unread; no attempt may begin 100 ms after the close of the client. */
+    private static final long MAX_UNREAD_NANOS = 80_000_000L;
+
     private final ClientListener listener;
     private final PeekableSocketChannel channel;
     private final ClientRequestDecoder decoder;
@@ -201,6 +204,12 @@
         body.resumeUpload();
     }
 
+    /** See {@link rillyard.proxy.dispatch.ResponseReceiver#isClientPresent}. */
+    boolean isClientPresent() {
+        return channel.isActive()
+                && !(channel.hasUnreadInput() && System.nanoTime() - channel.sentSinceNanos() > MAX_UNREAD_NANOS);
+    }
+
     // --- closing
 
     /** Sends an error status for input that can't be served, and closes the connection. */
--- a/src/main/java/rillyard/proxy/downstream/ClientRequestDecoder.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientRequestDecoder.java
@@ -18,6 +18,9 @@
     /** Number of discarded bytes beyond which the connection is closed. */
     private static final int MAX_DISCARDED_BYTES = 256 * 1024;
 
+    /** Number of discarded pipelined bytes beyond which the connection is closed. */
+    private static final long MAX_DISCARDED_PIPELINED_BYTES = 64L << 20;
+
     private final PipelineBuffer pipelineBuffer;
     private final HeaderMemoryAccount headerMemory;
     private ChannelHandlerContext context;
@@ -64,11 +67,14 @@
             return;
         }
         ByteBuf read = channel.prependPeekedByte((ByteBuf) msg);
-        if (!pipelineBuffer.isHoldingBytes()) {
+        if (!pipelineBuffer.isHoldingBytes() && !pipelineBuffer.hasOverflowed()) {
             inputSentSinceNanos = channel.sentSinceNanos();
             super.channelRead(ctx, read);
-        } else if (pipelineBuffer.addBytes(read, channel.sentSinceNanos(), ctx.alloc())) {
-            channel.pauseReading();
+            return;
+        }
+        pipelineBuffer.addBytes(read, channel.sentSinceNanos(), ctx.alloc());
+        if (pipelineBuffer.discardedBytes() > MAX_DISCARDED_PIPELINED_BYTES) {
+            ctx.close();
         }
     }
 
--- a/src/main/java/rillyard/proxy/downstream/PipelineBuffer.java
+++ b/src/main/java/rillyard/proxy/downstream/PipelineBuffer.java
@@ -12,6 +12,9 @@
  * Holds pipelined input, which a client sends before the response to its current request: the parts that were parsed in
  * the same read, and behind them unparsed bytes, each with the time since when it may have been sent.
  *
+ * <p>Input is read to its end even where it can't be held, because only so is a close behind it noticed. Once some has
+ * been discarded the buffer has overflowed, for good: no request follows those that it holds.
+ *
  * <p>Nothing is allocated for a connection that does not pipeline. Held bytes beyond {@link #UNCHARGED_BYTES} are
  * charged to the memory budget of bodies.
  */
@@ -24,8 +27,8 @@
      */
     record HeldInput(ByteBuf bytes, long sentSinceNanos) {}
 
-    /** Number of held bytes at which reading is paused, so that a close behind them is not noticed. */
-    static final int MAX_BYTES = 1024 * 1024;
+    /** Number of bytes that are held at most; what a client sends behind them is discarded. */
+    private static final int MAX_BYTES = 2 * 1024 * 1024;
 
     /** Number of bytes that are held without being charged to the memory budget of bodies. */
     private static final int UNCHARGED_BYTES = 32 * 1024;
@@ -41,6 +44,7 @@
 
     private int heldBytes;
     private int chargedBytes;
+    private long discardedBytes;
 
     /** Creates an empty buffer that is charged to the memory budget of bodies. */
     PipelineBuffer(BodyMemoryBudget memory) {
@@ -94,13 +98,31 @@
         return heldBytes > 0;
     }
 
-    /** Appends bytes, whose reference the buffer takes over; returns whether it is full now. */
-    boolean addBytes(ByteBuf read, long sentSinceNanos, ByteBufAllocator allocator) {
+    /** Appends bytes, or discards them if the buffer is full or has overflowed; takes over the caller's reference. */
+    void addBytes(ByteBuf read, long sentSinceNanos, ByteBufAllocator allocator) {
+        if (hasOverflowed() || isFull()) {
+            discardedBytes += read.readableBytes();
+            read.release();
+            return;
+        }
         ByteBuf bytes = CompactBuffers.compact(read, allocator);
         pieces.add(new HeldInput(bytes, sentSinceNanos));
         heldBytes += usedBytes(bytes);
         chargeHeldBytes();
-        return heldBytes >= MAX_BYTES || memory.isExhausted(MAX_BYTES);
+    }
+
+    private boolean isFull() {
+        return heldBytes >= MAX_BYTES || (heldBytes >= UNCHARGED_BYTES && memory.isExhausted(MAX_BYTES));
+    }
+
+    /** Returns whether input has been discarded. */
+    boolean hasOverflowed() {
+        return discardedBytes > 0;
+    }
+
+    /** Returns the number of bytes that have been discarded. */
+    long discardedBytes() {
+        return discardedBytes;
     }
 
     private static int usedBytes(ByteBuf bytes) {
--- a/src/main/java/rillyard/proxy/downstream/RequestDispatcher.java
+++ b/src/main/java/rillyard/proxy/downstream/RequestDispatcher.java
@@ -19,6 +19,7 @@
     private long rejectedForMemory;
     private long rejectedForHeaderMemory;
     private long rejectedForCapacity;
+    private long rejectedForPipelining;
 
     RequestDispatcher(BalancerDriver driver, ProxyLog log, int maxOpenRequests) {
         this.driver = driver;
@@ -77,6 +78,11 @@
         log.info("client: request rejected, reason=header_memory total=" + ++rejectedForHeaderMemory);
     }
 
+    /** Logs a request that was discarded, as its client pipelines more than is held. */
+    void logRejectedForPipelining() {
+        log.info("client: request rejected, reason=pipelining total=" + ++rejectedForPipelining);
+    }
+
     /** Logs a request that exceeds the limit of open requests, or whose connection exceeds that of connections. */
     void logRejectedForCapacity() {
         log.info("client: request rejected, reason=descriptors total=" + ++rejectedForCapacity);
--- a/src/main/java/rillyard/proxy/downstream/RequestReader.java
+++ b/src/main/java/rillyard/proxy/downstream/RequestReader.java
@@ -9,6 +9,7 @@
 import io.netty.util.ReferenceCountUtil;
 import rillyard.proxy.dispatch.RequestExchange;
 import rillyard.proxy.dispatch.StreamingUpload;
+import rillyard.proxy.eventloop.GuardedTimer;
 import rillyard.proxy.eventloop.PeekableSocketChannel;
 import rillyard.proxy.resources.BodyMemoryBudget;
 import rillyard.proxy.resources.BufferedBody;
@@ -25,6 +26,11 @@
     private static final int CONTENT_TOO_LARGE = 413;
     private static final int SERVICE_UNAVAILABLE = 503;
 
+    private static final long INPUT_CHECK_NANOS = 10_000_000L;
+
+    /** Number of checks whether all input has been read, after which a request is rejected whose client may have left. */
+    private static final int MAX_INPUT_CHECKS = 10;
+
     private final ClientConnection connection;
     private final PeekableSocketChannel channel;
     private final ClientRequestDecoder decoder;
@@ -80,7 +86,7 @@
 
     /** Returns whether input has been received that no request has taken. */
     boolean hasPipelinedInput() {
-        return pipelineBuffer.hasParts() || pipelineBuffer.isHoldingBytes();
+        return pipelineBuffer.hasParts() || pipelineBuffer.isHoldingBytes() || pipelineBuffer.hasOverflowed();
     }
 
     /** Handles pipelined input, as the previous response has been written; returns false if there is none. */
@@ -92,7 +98,7 @@
             decoder.setInputSentSinceNanos(pipelineBuffer.partsSentSinceNanos());
             handleAndRelease(pipelineBuffer.pollPart());
         }
-        if (!connection.hasExchange() && pipelineBuffer.isHoldingBytes()) {
+        if (!connection.hasExchange() && !pipelineBuffer.hasParts()) {
             // Deferred, because the decoder may be active and is not reentrant.
             channel.eventLoop().execute(this::releaseHeldInput);
         }
@@ -106,6 +112,10 @@
         while (mayParseHeldInput() && pipelineBuffer.isHoldingBytes()) {
             decoder.releaseHeldInput();
         }
+        if (mayParseHeldInput() && pipelineBuffer.hasOverflowed() && !connection.isDiscardingInput()) {
+            dispatcher.logRejectedForPipelining();
+            connection.reject(SERVICE_UNAVAILABLE); // the rest of the next request has been discarded
+        }
     }
 
     /** Returns whether the next held bytes may be parsed: there is no current request, or they belong to it. */
@@ -246,7 +256,29 @@
             return;
         }
         decoder.checkPeekedByte();
-        exchange.dispatch();
+        if (connection.isClientPresent()) {
+            exchange.dispatch();
+        } else {
+            awaitInputRead(exchange, MAX_INPUT_CHECKS);
+        }
+    }
+
+    /** Dispatches the request once the input behind it has been read, as its client may have left. */
+    private void awaitInputRead(RequestExchange exchange, int checks) {
+        if (connection.exchange() != exchange) {
+            return; // its client has left, or it was answered
+        }
+        if (connection.isClientPresent()) {
+            exchange.dispatch();
+        } else if (checks == 0) {
+            exchange.endForUnreadInput();
+        } else {
+            GuardedTimer.schedule(
+                    channel.eventLoop(),
+                    INPUT_CHECK_NANOS,
+                    () -> awaitInputRead(exchange, checks - 1),
+                    channel.pipeline()::fireExceptionCaught);
+        }
     }
 
     private RequestExchange newExchange(HttpRequest head, BufferedBody content, double remainingMillis) {
@@ -273,11 +305,13 @@
         RequestExchange exchange =
                 dispatcher.newUploadExchange(head, body.requestClass(), upload, body.timeoutMillis(), writer);
         connection.startExchange(exchange);
-        if (hasCapacity) {
-            exchange.dispatch();
-        } else {
+        if (!hasCapacity) {
             onRejectedForCapacity();
             exchange.reject(0);
+        } else if (connection.isClientPresent()) {
+            exchange.dispatch();
+        } else {
+            awaitInputRead(exchange, MAX_INPUT_CHECKS);
         }
     }
 
--- a/src/main/java/rillyard/proxy/downstream/ResponseWriter.java
+++ b/src/main/java/rillyard/proxy/downstream/ResponseWriter.java
@@ -103,6 +103,11 @@
         }
     }
 
+    @Override
+    public boolean isClientPresent() {
+        return connection.isClientPresent();
+    }
+
     @Override
     public void resumeRequestBody() {
         connection.resumeUpload();
--- a/src/test/java/rillyard/proxy/dispatch/BalancerFailureTest.java
+++ b/src/test/java/rillyard/proxy/dispatch/BalancerFailureTest.java
@@ -72,6 +72,11 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public boolean isClientPresent() {
+            return true;
+        }
+
         @Override
         public void resumeRequestBody() {}
     }
--- a/src/test/java/rillyard/proxy/dispatch/ResponseMemoryTest.java
+++ b/src/test/java/rillyard/proxy/dispatch/ResponseMemoryTest.java
@@ -62,6 +62,11 @@
             throw new AssertionError("aborted");
         }
 
+        @Override
+        public boolean isClientPresent() {
+            return true;
+        }
+
         @Override
         public void resumeRequestBody() {}
     }
