The ids of the latest 50,000 requests are known, also to the other process of an upgrade

What callers saw: an id ran twice when it came again after its client had left, or at the other process of an upgrade.

Cause: an id was known while its request was open and for 2 s more, in the memory of one process. An unsafe request whose client has left goes on at its host for longer than that, and the process that replaces this one knew nothing of it.

Change: RequestIdTable keeps 64-bit hashes of the latest ids of dispatched requests, in 512 KB, displaced by later ones and not by time. Where an admin address is configured it is a file of the hot-restart directory that both processes map. A request that was read and never dispatched leaves no id, so that its client may send it again.

Left: the same id at both processes within a microsecond counts as new at both.

--- a/src/main/java/rillyard/proxy/ClientProxy.java
+++ b/src/main/java/rillyard/proxy/ClientProxy.java
@@ -6,12 +6,14 @@
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import rillyard.admin.ProxyMetrics;
 import rillyard.balancer.Settings;
 import rillyard.endpoints.EndpointListGuard;
+import rillyard.hotrestart.RequestIdTable;
 import rillyard.proxy.admin.ProxyAdmin;
 import rillyard.proxy.config.ConfigException;
 import rillyard.proxy.config.ProxyConfig;
@@ -171,8 +173,10 @@
             return;
         }
         try {
-            ProxyAdmin started =
-                    new ProxyAdmin(ProxyAdmin.hotRestartDirectory(env, config), loop, listener, driver, log);
+            Path directory = ProxyAdmin.hotRestartDirectory(env, config);
+            RequestIdTable requestIds = RequestIdTable.shared(directory);
+            loop.submit(() -> driver.shareRequestIds(requestIds)).sync();
+            ProxyAdmin started = new ProxyAdmin(directory, loop, listener, driver, log);
             adminAddress = started.start(config.adminAddress());
             admin = started;
         } catch (Exception e) {
--- a/src/main/java/rillyard/proxy/dispatch/BalancerDriver.java
+++ b/src/main/java/rillyard/proxy/dispatch/BalancerDriver.java
@@ -15,6 +15,7 @@
 import rillyard.endpoints.EndpointListGuard;
 import rillyard.endpoints.HostStartClock;
 import rillyard.hotrestart.DisabledHostStore;
+import rillyard.hotrestart.RequestIdTable;
 import rillyard.proxy.config.ProxyConfig;
 import rillyard.proxy.discovery.EndpointListListener;
 import rillyard.proxy.discovery.EndpointRegistry;
@@ -145,6 +146,11 @@
         return openRequests.nextId();
     }
 
+    /** From now on shares the ids of requests with other processes; to be called before the first request. */
+    public void shareRequestIds(RequestIdTable shared) {
+        openRequests.shareRequestIds(shared);
+    }
+
     /** Returns whether a request with this id, which its client chose, is open or has ended recently. */
     public boolean isKnownRequestId(String requestId) {
         return openRequests.isKnown(requestId);
--- a/src/main/java/rillyard/proxy/dispatch/OpenRequests.java
+++ b/src/main/java/rillyard/proxy/dispatch/OpenRequests.java
@@ -4,11 +4,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import rillyard.hotrestart.RequestIdTable;
 
 /** Holds the exchanges that have not ended, and assigns and tracks the ids of requests. */
 final class OpenRequests {
     private final Map<Long, RequestExchange> exchanges = new HashMap<>();
-    private final RequestIdCache requestIds = new RequestIdCache();
+    private RequestIdTable requestIds = RequestIdTable.ofProcess();
     private long nextId;
 
     /** Returns a new id for the balancer, counted from 0. */
@@ -18,14 +19,17 @@
 
     void add(RequestExchange exchange) {
         exchanges.put(exchange.id(), exchange);
-        requestIds.onOpened(exchange.requestId());
+        requestIds.add(exchange.requestId());
     }
 
-    /** Removes an exchange, if it was added; the id that its client chose stays known for a while. */
+    /** Removes an exchange, if it was added; the id that its client chose stays known. */
     void remove(RequestExchange exchange) {
-        if (exchanges.remove(exchange.id()) != null) {
-            requestIds.onClosed(exchange.requestId(), System.nanoTime());
-        }
+        exchanges.remove(exchange.id());
+    }
+
+    /** From now on shares the ids of requests with other processes; to be called before the first request. */
+    void shareRequestIds(RequestIdTable shared) {
+        requestIds = shared;
     }
 
     /** Returns the exchange with this id, which {@link #nextId} assigned, or null if it has ended. */
@@ -62,6 +66,6 @@
 
     /** Returns whether a request with this id, which its client chose, is open or has ended recently. */
     boolean isKnown(String requestId) {
-        return requestIds.contains(requestId, System.nanoTime());
+        return requestIds.contains(requestId);
     }
 }
--- a/src/main/java/rillyard/proxy/dispatch/RequestExchange.java
+++ b/src/main/java/rillyard/proxy/dispatch/RequestExchange.java
@@ -54,7 +54,7 @@
     }
 
     /** Returns the id that the client chose for the request. */
-    String requestId() {
+    public String requestId() {
         return request.requestId();
     }
 
--- a/src/main/java/rillyard/proxy/downstream/RequestDispatcher.java
+++ b/src/main/java/rillyard/proxy/downstream/RequestDispatcher.java
@@ -37,6 +37,11 @@
         return driver.isKnownRequestId(requestIdOf(head));
     }
 
+    /** Returns whether another request has the id of one that was not dispatched. */
+    boolean isDuplicate(RequestExchange exchange) {
+        return driver.isKnownRequestId(exchange.requestId());
+    }
+
     /** Creates the exchange of a request that is complete; {@code content} is null if it has no body. */
     RequestExchange newExchange(
             HttpRequest head,
--- a/src/main/java/rillyard/proxy/downstream/RequestReader.java
+++ b/src/main/java/rillyard/proxy/downstream/RequestReader.java
@@ -268,7 +268,9 @@
         if (connection.exchange() != exchange) {
             return; // its client has left, or it was answered
         }
-        if (connection.isClientPresent()) {
+        if (dispatcher.isDuplicate(exchange)) { // of one that was dispatched meanwhile
+            connection.reject(CONFLICT);
+        } else if (connection.isClientPresent()) {
             exchange.dispatch();
         } else if (checks == 0) {
             exchange.endForUnreadInput();
