A connection gets a slice of each turn, and no request before its responses are read

What callers saw: while one client sent small or unsound requests on one connection at full speed, others were answered late or never, or memory grew without end; a process ended by itself. Here: health checks whose responses are not read ended the process within 4 s (the heap is used up, ExitOnOutOfMemoryError); a megabyte of them behind a request that waits held others up for 2.7 s; chunks of one byte for 317 ms.

Cause: the next request of a connection was begun whether or not the responses before it had been taken, so they were queued without bound. All held input was handled in one task, and up to 16 reads of 16 kB in a turn, however long that took.

Change: PipelineReader, taken out of RequestReader, begins a request only while the client's channel is writable and the connection has used under 1 ms of the turn; then it pauses for twice the time that it took, and reading with it. A connection is read at most twice in a turn. Requests of one read are handled in a loop, where each used to be nested in the one before it. Small pieces of held input are gathered.

--- a/src/main/java/rillyard/proxy/downstream/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientConnection.java
@@ -92,8 +92,13 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        if (writer.updateWritability() && exchange != null) {
+        if (!writer.updateWritability()) {
+            return;
+        }
+        if (exchange != null) {
             exchange.onClientWritable();
+        } else {
+            reader.pipeline().onWritable();
         }
     }
 
@@ -184,14 +189,21 @@
     /** Continues with the input behind a request. An exception there does not concern that request. */
     private void readNext() {
         try {
-            if (!reader.readPipelined() && !decoder.isReceiving() && !body.isSkipping()) {
-                becomeIdle();
+            if (!reader.pipeline().readNext()) {
+                onInputReleased();
             }
         } catch (RuntimeException | Error e) {
             failures.onHandlerFailed(e);
         }
     }
 
+    /** Handles the end of held input: without a request in progress the connection is idle. */
+    void onInputReleased() {
+        if (!isDiscardingInput() && exchange == null && !decoder.isReceiving() && !body.isSkipping()) {
+            becomeIdle();
+        }
+    }
+
     /** Closes the connection after an incomplete response, so that the client notices that it is incomplete. */
     void onResponseAborted() {
         exchange = null;
@@ -290,7 +302,7 @@
 
     /** Handles the end of the write of a response, behind which no other is being written. */
     void onWritingEnded() {
-        if (channel.isActive() && !isBusy() && !reader.hasPipelinedInput()) {
+        if (channel.isActive() && !isBusy() && !reader.pipeline().hasInput()) {
             becomeIdle();
         }
     }
--- a/src/main/java/rillyard/proxy/downstream/PipelineBuffer.java
+++ b/src/main/java/rillyard/proxy/downstream/PipelineBuffer.java
@@ -36,6 +36,14 @@
     /** Bytes of the objects that hold one piece of input. */
     private static final int PIECE_BYTES = 256;
 
+    /** Size up to which pieces are gathered in one, and the size of that. */
+    private static final int MAX_GATHERED_PIECE_BYTES = 2 * 1024;
+
+    private static final int GATHERED_BYTES = 16 * 1024;
+
+    /** Longest difference in time of pieces that are gathered, all of which get the time of the first. */
+    private static final long MAX_GATHERED_NANOS = 5_000_000L;
+
     private final BodyMemoryBudget memory;
     private ArrayDeque<HttpObject> parts;
     private long partsSentSinceNanos;
@@ -105,10 +113,33 @@
             read.release();
             return;
         }
-        ByteBuf bytes = CompactBuffers.compact(read, allocator);
+        if (read.readableBytes() > MAX_GATHERED_PIECE_BYTES) {
+            addPiece(CompactBuffers.compact(read, allocator), sentSinceNanos);
+        } else {
+            gather(read, sentSinceNanos, allocator);
+        }
+        chargeHeldBytes();
+    }
+
+    private void addPiece(ByteBuf bytes, long sentSinceNanos) {
         pieces.add(new HeldInput(bytes, sentSinceNanos));
         heldBytes += usedBytes(bytes);
-        chargeHeldBytes();
+    }
+
+    private void gather(ByteBuf read, long sentSinceNanos, ByteBufAllocator allocator) {
+        HeldInput last = pieces.peekLast();
+        boolean fits = last != null
+                && last.bytes().maxCapacity() == GATHERED_BYTES
+                && last.bytes().maxWritableBytes() >= read.readableBytes()
+                && sentSinceNanos - last.sentSinceNanos() < MAX_GATHERED_NANOS;
+        if (fits) {
+            heldBytes += read.readableBytes();
+            last.bytes().writeBytes(read);
+        } else {
+            addPiece(
+                    allocator.directBuffer(read.readableBytes(), GATHERED_BYTES).writeBytes(read), sentSinceNanos);
+        }
+        read.release();
     }
 
     private boolean isFull() {
--- a/src/main/java/rillyard/proxy/downstream/RequestReader.java
+++ b/src/main/java/rillyard/proxy/downstream/RequestReader.java
@@ -18,7 +18,7 @@
 /**
  * Assembles the requests of one client connection from parsed parts, one at a time, and dispatches them.
  *
- * <p>Pipelined requests wait in the {@link PipelineBuffer}.
+ * <p>Pipelined requests wait in the {@link PipelineReader}.
  */
 final class RequestReader {
     private static final int OK = 200;
@@ -34,7 +34,7 @@
     private final ClientConnection connection;
     private final PeekableSocketChannel channel;
     private final ClientRequestDecoder decoder;
-    private final PipelineBuffer pipelineBuffer;
+    private final PipelineReader pipeline;
     private final ResponseWriter writer;
     private final RequestValidator validator;
     private final RequestDispatcher dispatcher;
@@ -58,7 +58,7 @@
         this.connection = connection;
         this.channel = channel;
         this.decoder = decoder;
-        this.pipelineBuffer = pipelineBuffer;
+        this.pipeline = new PipelineReader(connection, this, channel, decoder, pipelineBuffer);
         this.writer = writer;
         this.validator = listener.validator();
         this.dispatcher = listener.dispatcher();
@@ -72,55 +72,18 @@
         return body;
     }
 
-    /** Handles or buffers a parsed part; the reader takes over its reference. */
+    /** Handles or holds a parsed part; the reader takes over its reference. */
     void read(HttpObject part) {
-        if (connection.hasExchange() && !body.isUploading() && !connection.isDiscardingInput()) {
-            // Input behind a pipelined request is still read, because only then is the end of the connection noticed,
-            // after which no request may be started for this client.
-            pipelineBuffer.addPart(part, decoder.inputSentSinceNanos());
-            decoder.holdInput();
+        if (pipeline.mustHold(part)) {
+            pipeline.hold(part);
         } else {
             handleAndRelease(part);
         }
     }
 
-    /** Returns whether input has been received that no request has taken. */
-    boolean hasPipelinedInput() {
-        return pipelineBuffer.hasParts() || pipelineBuffer.isHoldingBytes() || pipelineBuffer.hasOverflowed();
-    }
-
-    /** Handles pipelined input, as the previous response has been written; returns false if there is none. */
-    boolean readPipelined() {
-        if (!hasPipelinedInput()) {
-            return false;
-        }
-        while (!connection.hasExchange() && pipelineBuffer.hasParts()) {
-            decoder.setInputSentSinceNanos(pipelineBuffer.partsSentSinceNanos());
-            handleAndRelease(pipelineBuffer.pollPart());
-        }
-        if (!connection.hasExchange() && !pipelineBuffer.hasParts()) {
-            // Deferred, because the decoder may be active and is not reentrant.
-            channel.eventLoop().execute(this::releaseHeldInput);
-        }
-        return true;
-    }
-
-    private void releaseHeldInput() {
-        if (mayParseHeldInput() && !body.isAwaitingMemory() && !body.isUploading()) {
-            channel.resumeReading();
-        }
-        while (mayParseHeldInput() && pipelineBuffer.isHoldingBytes()) {
-            decoder.releaseHeldInput();
-        }
-        if (mayParseHeldInput() && pipelineBuffer.hasOverflowed() && !connection.isDiscardingInput()) {
-            dispatcher.logRejectedForPipelining();
-            connection.reject(SERVICE_UNAVAILABLE); // the rest of the next request has been discarded
-        }
-    }
-
-    /** Returns whether the next held bytes may be parsed: there is no current request, or they belong to it. */
-    private boolean mayParseHeldInput() {
-        return body.isUploading() || (!connection.hasExchange() && !pipelineBuffer.hasParts());
+    /** Returns the held input of the connection. */
+    PipelineReader pipeline() {
+        return pipeline;
     }
 
     /** Passes on what has been gathered of a forwarded body, as there is no more input for now. */
@@ -136,10 +99,11 @@
     /** Releases the memory that is held for a connection that is closed. */
     void close() {
         body.abort();
-        pipelineBuffer.releaseParts();
+        pipeline.close();
     }
 
-    private void handleAndRelease(HttpObject part) {
+    /** Handles a part and releases its reference. */
+    void handleAndRelease(HttpObject part) {
         try {
             handle(part);
         } finally {
@@ -256,6 +220,7 @@
             return;
         }
         decoder.checkPeekedByte();
+        channel.resumeReading(); // held input may have been handled since a pause
         if (connection.isClientPresent()) {
             exchange.dispatch();
         } else {
@@ -337,6 +302,12 @@
         rejectUnsent();
     }
 
+    /** Rejects a request that follows those that were held, and whose rest has been discarded. */
+    void rejectDiscarded() {
+        dispatcher.logRejectedForPipelining();
+        connection.reject(SERVICE_UNAVAILABLE);
+    }
+
     /** Rejects the current request, of which no host has seen anything. */
     private void rejectUnsent() {
         if (!body.isHealthCheck()) { // a health check has no request class
@@ -351,8 +322,7 @@
         if (connection.hasExchange()) {
             connection.closeAfterResponse();
             decoder.discardInput();
-            pipelineBuffer.releaseParts();
-            pipelineBuffer.releaseBytes();
+            pipeline.close();
         } else {
             connection.reject(SERVICE_UNAVAILABLE);
         }
--- a/src/main/java/rillyard/proxy/eventloop/PeekableSocketChannel.java
+++ b/src/main/java/rillyard/proxy/eventloop/PeekableSocketChannel.java
@@ -116,6 +116,11 @@
         return inputAge.hasUnreadInput(System.nanoTime());
     }
 
+    /** Returns the number of the event loop's current turn, on an accepted connection. */
+    public long turn() {
+        return stallDetector.turn();
+    }
+
     /** Records that a message is complete, behind which its sender sends nothing before it is answered. */
     public void onMessageComplete() {
         inputAge.onMessageComplete();
--- a/src/main/java/rillyard/proxy/resources/ConnectionLimits.java
+++ b/src/main/java/rillyard/proxy/resources/ConnectionLimits.java
@@ -10,6 +10,13 @@
     public static final AdaptiveRecvByteBufAllocator READ_BUFFER_ALLOCATOR =
             new AdaptiveRecvByteBufAllocator(512, 2048, 16_384);
 
+    /** Most reads of one connection in a turn of the event loop; they bound its share of the loop's time. */
+    private static final int MAX_READS_PER_TURN = 2;
+
+    static {
+        READ_BUFFER_ALLOCATOR.maxMessagesPerRead(MAX_READS_PER_TURN);
+    }
+
     /** Water marks of the write buffer (bytes); they bound the memory of one connection. */
     public static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK = new WriteBufferWaterMark(16_384, 32_768);
 
