A response that its host still writes is not cut off

What callers saw: a long answer that a server was still writing slowly was cut off. Here: of 100 kB without a length whose host pauses for 0.7 s, and of 60 kB with a length whose host pauses for 0.23 s.

Cause: a forwarded response of unknown length that may be a short one ended 0.4 s past its deadline after 0.5 s of silence, however regularly its host had gone on before. A short response counted as lost after 150 ms of silence, also where no other attempt is allowed, so that nothing was gained. At the deadline a response that had begun was dropped if it was still in the buffer of 30 ms.

Change: a host may pause within a response for twice as long as it has paused before; the buffered response of a request that can't be repeated has until 0.4 s past the deadline, which answers it before, 10 s at most; at the deadline a response of unknown length that has begun is forwarded. Requests that can be repeated keep the 150 ms.

Left: a first pause of over 0.5 s past the deadline ends a response of unknown length, as a host that has stopped looks the same.

--- a/src/main/java/rillyard/proxy/dispatch/AttemptList.java
+++ b/src/main/java/rillyard/proxy/dispatch/AttemptList.java
@@ -69,6 +69,11 @@
         });
     }
 
+    /** Begins to forward a response of unknown length that has begun to arrive. */
+    void forwardBegunResponses() {
+        forEachOpen(UpstreamAttempt::forwardBegunResponse);
+    }
+
     /** Ends all open attempts, as their time is up. */
     void timeOutAll() {
         forEachOpen(UpstreamAttempt::onTimeout);
--- a/src/main/java/rillyard/proxy/dispatch/BalancerDriver.java
+++ b/src/main/java/rillyard/proxy/dispatch/BalancerDriver.java
@@ -2,7 +2,9 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import rillyard.admin.ProxyMetrics;
 import rillyard.balancer.AttemptResult;
@@ -41,6 +43,7 @@
     private final PeerGossip peerGossip;
     private final PeerGossipListener peerGossipListener = new PeerGossipListener(this);
     private final int maxAttempts;
+    private final Set<String> repeatableClasses = new HashSet<>();
     private final BalancerClock clock = new BalancerClock();
     private final OpenRequests openRequests = new OpenRequests();
     private final BalancerEvents events;
@@ -73,6 +76,11 @@
         this.bodyMemory = bodyMemory;
         this.peerGossip = peerGossip;
         this.maxAttempts = settings.limits().maxAttempts();
+        for (Settings.RequestClass requestClass : settings.classes()) {
+            if (requestClass.semantics() != Settings.Semantics.AT_MOST_ONCE) {
+                repeatableClasses.add(requestClass.name());
+            }
+        }
         this.events = new BalancerEvents(log);
         DisabledHosts disabled = new DisabledHosts();
         this.endpoints = new EndpointRegistry(
@@ -126,6 +134,11 @@
         return maxAttempts;
     }
 
+    /** Returns whether requests of a class may be sent again though a host may have executed them. */
+    boolean isRepeatable(String requestClass) {
+        return repeatableClasses.contains(requestClass);
+    }
+
     /** Returns the metrics of this proxy. May be called on any thread. */
     public ProxyMetrics metrics() {
         return metrics;
--- a/src/main/java/rillyard/proxy/dispatch/HostResponse.java
+++ b/src/main/java/rillyard/proxy/dispatch/HostResponse.java
@@ -15,12 +15,17 @@
     /** Nanoseconds past the deadline at which a short response ends; past 500 ms its request counts as lost. */
     private static final long MAX_LATE_END_NANOS = 400_000_000L;
 
+    /** Pause that is allowed to a host within a response, as a multiple of its longest pause in that response. */
+    private static final long PAUSE_FACTOR = 2;
+
     private final UpstreamAttempt attempt;
     private final RequestExchange exchange;
     private final BalancerDriver driver;
     private final HttpResponse head;
     private final long contentLength;
     private long receivedBytes;
+    private long lastContentNanos = System.nanoTime();
+    private long longestPauseNanos;
     private boolean isAwaitingMemory;
     /** Null unless the length of the response is unknown. */
     private Future<?> forwardingTimer;
@@ -54,8 +59,8 @@
     }
 
     /** Forwards a response of unknown length, which may be a long one whose host has paused. */
-    private void forwardIfBuffered() {
-        if (buffer != null) {
+    void forwardIfBuffered() {
+        if (buffer != null && contentLength < 0) {
             startForwarding();
         }
     }
@@ -73,6 +78,9 @@
     /** Buffers or forwards a part of the body; the caller keeps its own reference. */
     void onContent(ByteBuf content) {
         receivedBytes += content.readableBytes();
+        long nowNanos = System.nanoTime();
+        longestPauseNanos = Math.max(longestPauseNanos, nowNanos - lastContentNanos);
+        lastContentNanos = nowNanos;
         if (receivedBytes > BufferedBody.MAX_BYTES) {
             attempt.onConnectionLost(); // longer than the protocol allows
         } else if (isForwarded()) {
@@ -131,18 +139,27 @@
         return forwarded != null;
     }
 
-    /** See {@link UpstreamAttempt#stalledAtNanos}. */
+    /**
+     * See {@link UpstreamAttempt#stalledAtNanos}. A response that is buffered is given up early only if that leaves time
+     * for another attempt. A host that has paused before, and gone on, may pause for longer than others.
+     */
     long stalledAtNanos(long lastReadNanos) {
+        long stalledAtNanos = lastReadNanos + ForwardedResponse.STALL_NANOS;
         if (!isForwarded()) {
-            return lastReadNanos + UpstreamAttempt.STALL_NANOS;
+            return exchange.isRepeatable()
+                    ? lastReadNanos + UpstreamAttempt.STALL_NANOS
+                    : Math.min(stalledAtNanos, endOfTimeNanos());
         }
-        long stalledAtNanos = lastReadNanos + ForwardedResponse.STALL_NANOS;
         boolean mayBeShort = contentLength < 0 && receivedBytes <= BufferedBody.MAX_BUFFERED_BYTES;
         if (!mayBeShort) {
             return stalledAtNanos;
         }
-        long overdueAtNanos = driver.toNanoTime(exchange.deadlineAtMillis()) + MAX_LATE_END_NANOS;
-        return Math.min(stalledAtNanos, Math.max(lastReadNanos + UNKNOWN_LENGTH_STALL_NANOS, overdueAtNanos));
+        long maxPauseNanos = Math.max(UNKNOWN_LENGTH_STALL_NANOS, PAUSE_FACTOR * longestPauseNanos);
+        return Math.min(stalledAtNanos, Math.max(lastReadNanos + maxPauseNanos, endOfTimeNanos()));
+    }
+
+    private long endOfTimeNanos() {
+        return driver.toNanoTime(exchange.deadlineAtMillis()) + MAX_LATE_END_NANOS;
     }
 
     /** Handles the end of the body: ends the forwarded response, or delivers the buffered one. */
--- a/src/main/java/rillyard/proxy/dispatch/RequestExchange.java
+++ b/src/main/java/rillyard/proxy/dispatch/RequestExchange.java
@@ -87,6 +87,11 @@
 
     // --- streaming uploads
 
+    /** Returns whether the request may be sent again though a host may have executed it. */
+    boolean isRepeatable() {
+        return driver.isRepeatable(request.requestClass());
+    }
+
     /** Returns whether the body is, or was, forwarded while it is received. */
     boolean isUpload() {
         return request.isUpload();
@@ -345,6 +350,10 @@
     }
 
     private void onDeadline(boolean isCausedByStall) {
+        attempts.forwardBegunResponses(); // the first bytes of a long response have come in time
+        if (response.isDecided()) {
+            return;
+        }
         if (isCausedByStall) {
             attempts.cancelAll();
         } else {
--- a/src/main/java/rillyard/proxy/dispatch/UpstreamAttempt.java
+++ b/src/main/java/rillyard/proxy/dispatch/UpstreamAttempt.java
@@ -179,6 +179,13 @@
         response.onContent(part.content());
     }
 
+    /** Begins to forward the response if it is of unknown length and has begun to arrive. */
+    void forwardBegunResponse() {
+        if (response != null) {
+            response.forwardIfBuffered();
+        }
+    }
+
     /** Ends the attempt as successful, as its response is forwarded from here on. */
     void onForwarding() {
         open = false;
