A host's process is recognized by address and start, not by name or address alone

What callers saw: a new process came up at the address of one that had gone and was taken for the old one; work went to the wrong place or ran twice. Here: a repeat with an idempotency key went to the address of a host of its cell, where a host of another cell had come up; and a request was written to an idle connection of a process whose restart had been announced, and timed out.

Cause: the entry of a host that has gone stays until its removal is announced, up to 6 s, and was used though discovery had given its address to another host. A connection belonged to a name and an address; a host that comes back at its address, or returns to a former one, kept the connections of the process before.

Change: ReplacedHosts removes a host, for the balancer too, once a list gives its address to another host that is new there, and as long as lists name it unchanged. UpstreamHost counts incarnations, by address and announced start; a connection serves the one that it was opened for.

--- a/src/main/java/rillyard/proxy/discovery/EndpointRegistry.java
+++ b/src/main/java/rillyard/proxy/discovery/EndpointRegistry.java
@@ -53,6 +53,7 @@
     private final Set<UpstreamHost> unlisted = new HashSet<>();
     private final DisabledHosts disabledHosts;
     private final HostStartClock hostStartClock;
+    private final ReplacedHosts replacedHosts = new ReplacedHosts(this);
 
     /**
      * Creates a registry without hosts.
@@ -150,10 +151,15 @@
         return new ListedEndpoint(listed.name(), listed.address(), started, listed.startedUnixMillis());
     }
 
+    /** Returns a list in which the hosts are removed whose address discovery has given to another host. */
+    public EndpointList withReplacedHosts(EndpointList list) {
+        return replacedHosts.withRemovals(list, hostsById.values());
+    }
+
     /**
      * Applies a list.
      *
-     * @return the hosts that may not receive requests any more, or not at their previous address
+     * @return the hosts that may not receive requests any more, or not in their previous process
      */
     public Set<UpstreamHost> apply(EndpointList list) {
         Set<UpstreamHost> withdrawn = new HashSet<>();
@@ -187,29 +193,33 @@
         return host;
     }
 
-    /** Records an entry; returns whether the host may not receive requests any more, or not at its previous address. */
+    /** Records an entry; returns whether the host may not receive requests any more, or not in its previous process. */
     private boolean announce(UpstreamHost host, ListedEndpoint listed) {
-        InetSocketAddress previousAddress = host.address();
-        host.onAnnounced(listed.entry(), listed.address());
+        int previousIncarnation = host.incarnation();
+        host.onAnnounced(listed.entry(), listed.address(), listed.startedUnixMillis());
         if (host.isListed()) {
             unlisted.remove(host);
         } else {
             unlisted.add(host);
         }
         host.setSendable(isReady(effectiveEntry(host)));
-        return !host.isSendable() || !listed.address().equals(previousAddress);
+        return !host.isSendable() || host.incarnation() != previousIncarnation;
     }
 
     /** Returns the last entry of a known host, for use in another list. */
     public ListedEndpoint lastAnnounced(String name) {
         UpstreamHost host = hostsByName.get(name);
-        return new ListedEndpoint(name, host.address(), host.entry(), 0);
+        return new ListedEndpoint(name, host.address(), host.entry(), host.startedUnixMillis());
     }
 
     /** Returns an entry that removes a known host, in the form in which discovery announces removals. */
     public ListedEndpoint asRemoved(String name) {
-        UpstreamHost host = hostsByName.get(name);
-        EndpointEntry entry = host.entry();
+        return asRemoved(lastAnnounced(name));
+    }
+
+    /** Returns the entry of a host, changed to one that removes it. */
+    ListedEndpoint asRemoved(ListedEndpoint listed) {
+        EndpointEntry entry = listed.entry();
         EndpointEntry removed = new EndpointEntry(
                 entry.id(),
                 entry.zone(),
@@ -217,7 +227,7 @@
                 entry.cell(),
                 EndpointEntry.Condition.GONE,
                 entry.startedAtMillis());
-        return new ListedEndpoint(name, host.address(), removed, 0);
+        return new ListedEndpoint(listed.name(), listed.address(), removed, listed.startedUnixMillis());
     }
 
     /** Forgets the hosts that are off the list and unused, so that replaced hosts do not accumulate. */
--- a/src/main/java/rillyard/proxy/dispatch/EndpointListApplier.java
+++ b/src/main/java/rillyard/proxy/dispatch/EndpointListApplier.java
@@ -29,7 +29,7 @@
 
     /** Applies a list and notifies the balancer. */
     void apply(WatchEvent kind, EndpointList list) {
-        EndpointList guarded = guard == null ? list : withGuardedHosts(list);
+        EndpointList guarded = endpoints.withReplacedHosts(guard == null ? list : withGuardedHosts(list));
         Set<UpstreamHost> drained = endpoints.apply(guarded);
         driver.onEndpointsChanged(kind, endpoints.effective(guarded), drained);
         endpoints.removeUnused();
--- a/src/main/java/rillyard/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/rillyard/proxy/upstream/UpstreamConnection.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import java.net.InetSocketAddress;
 import rillyard.proxy.eventloop.PeekableSocketChannel;
 import rillyard.proxy.resources.DescriptorBudget;
 
@@ -17,7 +16,7 @@
 public final class UpstreamConnection implements DescriptorBudget.IdleConnection {
     private final UpstreamPool pool;
     private final UpstreamHost host;
-    private final InetSocketAddress address;
+    private final int incarnation;
     private final PeekableSocketChannel channel;
     private final UpstreamResponseDecoder decoder;
     private final ResponseReader reader;
@@ -30,7 +29,7 @@
             UpstreamPool pool, UpstreamHost host, PeekableSocketChannel channel, UpstreamResponseDecoder decoder) {
         this.pool = pool;
         this.host = host;
-        this.address = host.address();
+        this.incarnation = host.incarnation();
         this.channel = channel;
         this.decoder = decoder;
         this.reader = new ResponseReader(this, decoder);
@@ -67,9 +66,9 @@
         return reuse.idleSinceNanos();
     }
 
-    /** Returns whether new requests may be sent to the host at the address of this connection. */
+    /** Returns whether new requests may be sent to the host's process at the other end of this connection. */
     boolean isReusable() {
-        return host.isSendable() && address.equals(host.address());
+        return host.isSendable() && incarnation == host.incarnation();
     }
 
     /** Writes the request of a call, which can no longer be withheld from the host. */
--- a/src/main/java/rillyard/proxy/upstream/UpstreamHost.java
+++ b/src/main/java/rillyard/proxy/upstream/UpstreamHost.java
@@ -22,6 +22,8 @@
     private final ArrayDeque<UpstreamConnection> idleConnections = new ArrayDeque<>(2);
     private final Set<UpstreamCall> connectingCalls = new LinkedHashSet<>(2);
     private InetSocketAddress address;
+    private double startedUnixMillis;
+    private int incarnation;
     private EndpointEntry entry;
     private boolean listed;
     private boolean sendable;
@@ -79,13 +81,29 @@
      *
      * @param announced the new entry
      * @param newAddress the address announced with it, or null to keep the current one
+     * @param newStartUnixMillis the start that discovery states, 0 for long ago
      */
-    public void onAnnounced(EndpointEntry announced, InetSocketAddress newAddress) {
+    public void onAnnounced(EndpointEntry announced, InetSocketAddress newAddress, double newStartUnixMillis) {
         entry = announced;
         listed = announced.condition() != EndpointEntry.Condition.GONE;
+        boolean hasMoved = newAddress != null && !newAddress.equals(address);
+        if (hasMoved || newStartUnixMillis != startedUnixMillis) {
+            incarnation++;
+        }
         if (newAddress != null) {
             address = newAddress;
         }
+        startedUnixMillis = newStartUnixMillis;
+    }
+
+    /** Returns the start that discovery stated last (Unix time in ms), 0 for long ago. */
+    public double startedUnixMillis() {
+        return startedUnixMillis;
+    }
+
+    /** Returns the number of the host's process: it changes with the address and with the start that is announced. */
+    public int incarnation() {
+        return incarnation;
     }
 
     /** Records that a full endpoint list lacks the host. */
--- a/src/test/java/rillyard/proxy/upstream/UpstreamCallFailureTest.java
+++ b/src/test/java/rillyard/proxy/upstream/UpstreamCallFailureTest.java
@@ -119,7 +119,8 @@
                 group, new SocketChannelFactory(), config, new DescriptorBudget(100), HeaderMemoryBudget.ofHeap(), log);
         upstreamHost.onAnnounced(
                 new EndpointEntry(0, "z", "k", 0, EndpointEntry.Condition.READY, 0),
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port()));
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port()),
+                0);
         upstreamHost.setSendable(true);
     }
 
