All buffers of long bodies are charged; two processes share the limit on memory

What callers saw: with hundreds of clients at once a process passed its memory limit and was killed. Here: 129 MB where 128 are configured, 106 where 96 are, with 560 clients that pipeline a megabyte each; 103 of 96 with clients that write bodies of 60 kB slowly.

Cause: the memory for bodies was 76 MB under the limit, though a process with its heap in use has 82 to 86 MB without any body; each process of an upgrade took it for itself. Not charged at all: 32 kB of pipelined input a connection, what a client has not read of a forwarded response, and blocks of 64 kB that were allocated for a length that was only announced. Small parts kept read buffers of 16 kB alive.

Change: 86 MB are kept for the rest of the process, twice where an admin address lets another process run beside this one. Parts of a forwarded response are charged until they are written; without memory a response has no second part queued before its client has taken the first. Blocks of bodies have 16 kB and grow with what arrives; 4 kB of pipelined input are free. Small parts are copied to buffers of their size.

--- a/src/main/java/rillyard/proxy/ClientProxy.java
+++ b/src/main/java/rillyard/proxy/ClientProxy.java
@@ -37,12 +37,11 @@
  * <p>Methods may be called on any thread unless they say otherwise.
  */
 public final class ClientProxy {
-    /** Part of the memory limit (MB) that the JVM uses for other things than buffered bodies. */
-    private static final long BASE_MEMORY_MB = 76;
+    /** Part of the memory limit (MB) that a process uses for other things than buffered bodies, its heap included. */
+    private static final long BASE_MEMORY_MB = 86;
 
     private static final long MIN_BODY_MEMORY_MB = 8;
 
-    /** Buffered bodies are small, and two processes may share the memory limit during a hot restart. */
     private static final long MAX_BODY_MEMORY_MB = 48;
 
     private static final int MEGABYTE_SHIFT = 20;
@@ -103,8 +102,11 @@
         this.drainController = new DrainController(loop, listener, driver, log, longestDeadlineMillis(config));
     }
 
+    /** Returns the memory for bodies; two processes share the limit where one can replace the other. */
     private static long bodyMemoryMb(ProxyConfig config) {
-        return Math.max(MIN_BODY_MEMORY_MB, Math.min(MAX_BODY_MEMORY_MB, config.memoryMb() - BASE_MEMORY_MB));
+        int processes = config.adminAddress() == null ? 1 : 2;
+        long availableMb = config.memoryMb() / processes - BASE_MEMORY_MB;
+        return Math.max(MIN_BODY_MEMORY_MB, Math.min(MAX_BODY_MEMORY_MB, availableMb));
     }
 
     private static double longestDeadlineMillis(ProxyConfig config) {
--- a/src/main/java/rillyard/proxy/downstream/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientConnection.java
@@ -58,7 +58,7 @@
         this.listener = listener;
         this.channel = channel;
         this.decoder = decoder;
-        this.writer = new ResponseWriter(this, channel);
+        this.writer = new ResponseWriter(this, channel, listener.bodyMemory());
         this.reader = new RequestReader(this, listener, channel, decoder, pipelineBuffer, writer, overflow);
         this.body = reader.body();
         this.timeouts = new ConnectionTimeouts(channel, decoder, body, writer);
@@ -102,6 +102,13 @@
         }
     }
 
+    /** Resumes a forwarded response, of which the client has taken all that was written. */
+    void onResponseTaken() {
+        if (exchange != null && channel.isWritable()) {
+            exchange.onClientWritable();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         failures.onException(cause);
--- a/src/main/java/rillyard/proxy/downstream/PipelineBuffer.java
+++ b/src/main/java/rillyard/proxy/downstream/PipelineBuffer.java
@@ -31,7 +31,7 @@
     private static final int MAX_BYTES = 2 * 1024 * 1024;
 
     /** Number of bytes that are held without being charged to the memory budget of bodies. */
-    private static final int UNCHARGED_BYTES = 32 * 1024;
+    private static final int UNCHARGED_BYTES = 4 * 1024;
 
     /** Bytes of the objects that hold one piece of input. */
     private static final int PIECE_BYTES = 256;
--- a/src/main/java/rillyard/proxy/downstream/ResponseWriter.java
+++ b/src/main/java/rillyard/proxy/downstream/ResponseWriter.java
@@ -16,21 +16,28 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import rillyard.proxy.dispatch.ResponseReceiver;
 import rillyard.proxy.http.ProtocolHeaders;
+import rillyard.proxy.resources.BodyMemoryBudget;
 import rillyard.proxy.resources.BufferedBody;
+import rillyard.proxy.resources.CompactBuffers;
 
 /** Writes the responses of one client connection, and tracks since when the client has not read them. */
 final class ResponseWriter implements ResponseReceiver {
 
     private final ClientConnection connection;
     private final Channel channel;
+    private final BodyMemoryBudget memory;
+    private long queuedBytes;
+    private boolean isPausedForMemory;
     private long blockedSinceNanos;
     private long writingSinceNanos;
     /** Null unless the end of a response is being written. */
     private ChannelFuture lastWrite;
 
-    ResponseWriter(ClientConnection connection, Channel channel) {
+    /** Creates a writer that charges what its client has not read of a forwarded response to {@code memory}. */
+    ResponseWriter(ClientConnection connection, Channel channel, BodyMemoryBudget memory) {
         this.connection = connection;
         this.channel = channel;
+        this.memory = memory;
     }
 
     /** Sends status 100 (Continue) to a client that waits for it before it sends the body. */
@@ -79,8 +86,22 @@
 
     @Override
     public boolean sendContent(ByteBuf content) {
-        write(new DefaultHttpContent(content), null);
-        return channel.isWritable();
+        ByteBuf part = CompactBuffers.compact(content, channel.alloc());
+        int bytes = part.readableBytes();
+        queuedBytes += bytes;
+        memory.charge(bytes, false);
+        write(new DefaultHttpContent(part), null).addListener(written -> onContentWritten(bytes));
+        isPausedForMemory = queuedBytes > 0 && memory.isExhausted(Long.MAX_VALUE);
+        return channel.isWritable() && !isPausedForMemory;
+    }
+
+    private void onContentWritten(int bytes) {
+        queuedBytes -= bytes;
+        memory.release(bytes, false);
+        if (isPausedForMemory && queuedBytes == 0) {
+            isPausedForMemory = false;
+            connection.onResponseTaken();
+        }
     }
 
     @Override
--- a/src/main/java/rillyard/proxy/resources/BufferedBody.java
+++ b/src/main/java/rillyard/proxy/resources/BufferedBody.java
@@ -18,9 +18,9 @@
     /** Bytes of the largest body that is buffered completely; a larger one is streamed. */
     public static final long MAX_BUFFERED_BYTES = 64 * 1024;
 
-    private static final int BLOCK_BYTES = 64 * 1024;
+    private static final int BLOCK_BYTES = 16 * 1024;
 
-    /** Minimum initial capacity of a block if the length of the body is unknown. */
+    /** Initial capacity of a block, unless more bytes are there already or fewer will come. */
     private static final int INITIAL_BLOCK_BYTES = 512;
 
     private final BodyMemoryBudget budget;
@@ -58,11 +58,14 @@
         }
     }
 
-    /** Adds a block for {@code pending} bytes that have been counted in the size but not copied. */
+    /**
+     * Adds a block for {@code pending} bytes that have been counted in the size but not copied. It grows as the body
+     * arrives: a length that is only announced takes no memory.
+     */
     private ByteBuf addBlock(int pending) {
-        long remaining = expectedBytes < 0 ? INITIAL_BLOCK_BYTES : expectedBytes - (size - pending);
-        int capacity = (int) Math.max(1, Math.min(BLOCK_BYTES, Math.max(remaining, pending)));
-        ByteBuf block = allocator.directBuffer(capacity, BLOCK_BYTES);
+        long remaining = expectedBytes < 0 ? Long.MAX_VALUE : expectedBytes - (size - pending);
+        long capacity = Math.max(pending, Math.min(INITIAL_BLOCK_BYTES, remaining));
+        ByteBuf block = allocator.directBuffer((int) Math.min(BLOCK_BYTES, capacity), BLOCK_BYTES);
         blocks.add(block);
         return block;
     }
