--- a/src/main/java/rillyard/proxy/downstream/RequestBodyReceiver.java
+++ b/src/main/java/rillyard/proxy/downstream/RequestBodyReceiver.java
@@ -239,6 +239,7 @@
         state = State.UPLOADING;
         history = new ReceiveHistory();
         history.onReceived(receivedBytes, System.nanoTime());
+        channel.resumeReading(); // held input may have been handled since a pause
         pauseUploadIfNeeded();
     }
 
--- a/src/main/java/rillyard/proxy/downstream/ResponseWriter.java
+++ b/src/main/java/rillyard/proxy/downstream/ResponseWriter.java
@@ -88,9 +88,12 @@
     public boolean sendContent(ByteBuf content) {
         ByteBuf part = CompactBuffers.compact(content, channel.alloc());
         int bytes = part.readableBytes();
-        queuedBytes += bytes;
-        memory.charge(bytes, false);
-        write(new DefaultHttpContent(part), null).addListener(written -> onContentWritten(bytes));
+        ChannelFuture written = write(new DefaultHttpContent(part), null);
+        if (!written.isDone()) {
+            queuedBytes += bytes;
+            memory.charge(bytes, false);
+            written.addListener(future -> onContentWritten(bytes));
+        }
         isPausedForMemory = queuedBytes > 0 && memory.isExhausted(Long.MAX_VALUE);
         return channel.isWritable() && !isPausedForMemory;
     }
