90 MB of the memory limit are kept for the process beside bodies

Need: two processes under a crowd had 185 of 192 MB, most of it heap and code.

Change: 90 MB in place of 86 are kept, so bodies have 38 MB at 128 configured and 8 at 96 or in each of two processes at 192.

--- a/src/main/java/rillyard/proxy/ClientProxy.java
+++ b/src/main/java/rillyard/proxy/ClientProxy.java
@@ -38,7 +38,7 @@
  */
 public final class ClientProxy {
     /** Part of the memory limit (MB) that a process uses for other things than buffered bodies, its heap included. */
-    private static final long BASE_MEMORY_MB = 86;
+    private static final long BASE_MEMORY_MB = 90;
 
     private static final long MIN_BODY_MEMORY_MB = 8;
 
