A read that fills its buffer exactly does not make later input old

Seen while reading the code again, before any release: a request of exactly 2,048 bytes was followed by one that was rejected at once.

Cause: whether a socket is empty was judged by a read that is shorter than its buffer. A read that fits exactly left the connection behind for good, so the next request counted as old as the one before, and retries were refused.

Change: a socket is empty, too, if the read after it finds nothing, or if the next poll has not found it readable. A connection with held input is busy, so that a drain does not end it within a pause.

--- a/src/main/java/rillyard/proxy/downstream/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientConnection.java
@@ -87,6 +87,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        channel.recordReadComplete();
         reader.onReadComplete();
     }
 
@@ -309,7 +310,7 @@
 
     /** Handles the end of the write of a response, behind which no other is being written. */
     void onWritingEnded() {
-        if (channel.isActive() && !isBusy() && !reader.pipeline().hasInput()) {
+        if (channel.isActive() && !isBusy()) {
             becomeIdle();
         }
     }
@@ -317,6 +318,7 @@
     /** Returns whether a request is being received or executed, or its response is not written yet. */
     boolean isBusy() {
         return exchange != null
+                || reader.pipeline().hasInput()
                 || body.isSkipping()
                 || decoder.isReceiving()
                 || writer.isWriting()
--- a/src/main/java/rillyard/proxy/eventloop/InputAge.java
+++ b/src/main/java/rillyard/proxy/eventloop/InputAge.java
@@ -32,7 +32,7 @@
      */
     void onRead(boolean isComplete, long turn, long nowNanos, long readableSinceNanos) {
         if (turn != lastTurn) {
-            onTurn(nowNanos, readableSinceNanos);
+            onTurn(turn, nowNanos, readableSinceNanos);
         }
         if (!isComplete) {
             shortTurns = 0;
@@ -42,20 +42,29 @@
         lastReadNanos = nowNanos;
     }
 
-    private void onTurn(long nowNanos, long readableSinceNanos) {
-        isBehind |= !isLastReadComplete; // the last turn has left input
+    private void onTurn(long turn, long nowNanos, long readableSinceNanos) {
+        boolean hasLastTurnLeftInput = hasTurnLeftInput(turn);
+        isBehind |= hasLastTurnLeftInput;
         shortTurns++;
-        if (isBehind && (nowNanos - lastReadNanos > MIN_SILENCE_NANOS || shortTurns > MIN_SHORT_TURNS)) {
-            isBehind = !isLastReadComplete;
+        if (nowNanos - lastReadNanos > MIN_SILENCE_NANOS || shortTurns > MIN_SHORT_TURNS) {
+            isBehind = hasLastTurnLeftInput;
         }
         if (!isBehind) {
             sentSinceNanos = readableSinceNanos;
         }
     }
 
+    /**
+     * Returns whether the turn that read last has left input. A socket that has filled the buffer exactly may be empty:
+     * then the poll of the next turn has not found it readable.
+     */
+    private boolean hasTurnLeftInput(long turn) {
+        return !isLastReadComplete && turn <= lastTurn + 1;
+    }
+
     /** Records that reading is paused; input that arrives from now on waits. */
-    void onPaused(long nowNanos) {
-        if (!hasUnreadInput(nowNanos)) {
+    void onPaused(long turn, long nowNanos) {
+        if (!hasUnreadInput(turn, nowNanos)) {
             sentSinceNanos = nowNanos;
         }
         isPaused = true;
@@ -64,19 +73,28 @@
     }
 
     /** Records that reading is resumed. */
-    void onResumed(long nowNanos) {
+    void onResumed(long turn, long nowNanos) {
         isPaused = false;
         lastReadNanos = nowNanos;
+        lastTurn = turn;
     }
 
     /** Records that a message is complete, behind which its sender sends nothing before it is answered. */
     void onMessageComplete() {
-        isBehind &= !isLastReadComplete;
+        if (isLastReadComplete) {
+            isBehind = false;
+        }
+    }
+
+    /** Records that the socket was found empty behind the last read. */
+    void onSocketEmpty() {
+        isLastReadComplete = true;
     }
 
     /** Returns whether input may be unread. */
-    boolean hasUnreadInput(long nowNanos) {
-        return isPaused || !isLastReadComplete || (isBehind && nowNanos - lastReadNanos < MIN_SILENCE_NANOS);
+    boolean hasUnreadInput(long turn, long nowNanos) {
+        boolean isCatchingUp = isBehind && nowNanos - lastReadNanos < MIN_SILENCE_NANOS;
+        return isPaused || isCatchingUp || hasTurnLeftInput(turn);
     }
 
     /** Returns since when the bytes that were read last, or the unread ones, may have waited. */
--- a/src/main/java/rillyard/proxy/eventloop/PeekableSocketChannel.java
+++ b/src/main/java/rillyard/proxy/eventloop/PeekableSocketChannel.java
@@ -103,6 +103,13 @@
                 stallDetector.readableSince(acceptTurn, acceptableSinceNanos));
     }
 
+    /** Records the end of the reads of a turn, the last of which may have found the socket empty. */
+    public void recordReadComplete() {
+        if (unsafe().recvBufAllocHandle().lastBytesRead() <= 0) {
+            inputAge.onSocketEmpty();
+        }
+    }
+
     /**
      * Returns since when ({@link System#nanoTime}) the bytes that an accepted connection has read last, or those that
      * are unread, may have waited.
@@ -113,7 +120,7 @@
 
     /** Returns whether more may have arrived on an accepted connection than was read. */
     public boolean hasUnreadInput() {
-        return inputAge.hasUnreadInput(System.nanoTime());
+        return inputAge.hasUnreadInput(stallDetector.turn(), System.nanoTime());
     }
 
     /** Returns the number of the event loop's current turn, on an accepted connection. */
@@ -129,7 +136,7 @@
     /** Pauses reading from an accepted connection until {@link #resumeReading}. */
     public void pauseReading() {
         if (config().isAutoRead()) {
-            inputAge.onPaused(System.nanoTime());
+            inputAge.onPaused(stallDetector.turn(), System.nanoTime());
             config().setAutoRead(false);
         }
     }
@@ -137,7 +144,7 @@
     /** Resumes reading from an accepted connection, if it is paused. */
     public void resumeReading() {
         if (!config().isAutoRead()) {
-            inputAge.onResumed(System.nanoTime());
+            inputAge.onResumed(stallDetector.turn(), System.nanoTime());
             config().setAutoRead(true);
         }
     }
--- a/src/test/java/rillyard/proxy/EventLoopStallTest.java
+++ b/src/test/java/rillyard/proxy/EventLoopStallTest.java
@@ -103,4 +103,20 @@
             assertThat(hostB.requests).isEmpty();
         }
     }
+
+    /** A request that fills the read buffer exactly, 2,048 bytes at first, must not make the next one count as old. */
+    @Test
+    void requestBehindOneThatFillsReadBufferKeepsItsTime() throws Exception {
+        try (ScriptedServer host = ScriptedServer.host(message -> ScriptedServer.ok("x"));
+                ProxyFixture fixture = new ProxyFixture(ProxyFixture.endpoint("a", host.port()));
+                TestPeer client = fixture.client()) {
+            for (int i = 0; i < 3; i++) {
+                String padded = ProxyFixture.post("claim", 800, "X-Padding: \r\n", "x");
+                String padding = "p".repeat(2_048 - padded.length());
+                client.write(padded.replace("X-Padding: ", "X-Padding: " + padding));
+                assertThat(client.read().status()).isEqualTo(200);
+                Thread.sleep(900); // longer than the timeout
+            }
+        }
+    }
 }
