The kinds of floods of ConnectionFloodIT are a plain enum

Need: Error Prone rejects an enum with a mutable field, so a clean build of the tests failed; the builds before were incremental and had not compiled this file with the linter.

Change: a method with a switch returns what a flood sends.

Measured: a clean clone compiles with the linter, main and tests.

--- a/src/test/java/rillyard/proxy/ConnectionFloodIT.java
+++ b/src/test/java/rillyard/proxy/ConnectionFloodIT.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntFunction;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -30,22 +29,12 @@
 class ConnectionFloodIT {
     /** What the flooding client sends at full speed. */
     private enum Flood {
-        HEALTH_CHECKS(i -> "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"),
-        OPEN_CLASSES(i -> ProxyFixture.post("claim", 0, "", "")),
-        NEW_TENANTS_AND_KEYS(i -> ProxyFixture.post(
-                "log",
-                1,
-                "X-Tenant-Id: t" + i + "\r\nIdempotency-Key: k" + i + "\r\nX-Route-Key: r" + i + "\r\n",
-                "x")),
-        UNKNOWN_CLASSES(i -> ProxyFixture.post("class" + i, 800, "", "")),
-        MALFORMED(i -> "BAD" + i + "\r\n\r\n"),
-        SMALL_CHUNKS(i -> "1\r\nx\r\n");
-
-        private final IntFunction<String> request;
-
-        Flood(IntFunction<String> request) {
-            this.request = request;
-        }
+        HEALTH_CHECKS,
+        OPEN_CLASSES,
+        NEW_TENANTS_AND_KEYS,
+        UNKNOWN_CLASSES,
+        MALFORMED,
+        SMALL_CHUNKS
     }
 
     private static final long FLOOD_MILLIS = 4_000;
@@ -103,10 +92,25 @@
         return latencies;
     }
 
+    /** Returns the request with this number, or the piece of one. */
+    private static String input(Flood flood, int number) {
+        return switch (flood) {
+            case HEALTH_CHECKS -> "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n";
+            case OPEN_CLASSES -> ProxyFixture.post("claim", 0, "", "");
+            case NEW_TENANTS_AND_KEYS -> {
+                String names = "X-Tenant-Id: t%1$d\r\nIdempotency-Key: k%1$d\r\nX-Route-Key: r%1$d\r\n";
+                yield ProxyFixture.post("log", 1, names.formatted(number), "x");
+            }
+            case UNKNOWN_CLASSES -> ProxyFixture.post("class" + number, 800, "", "");
+            case MALFORMED -> "BAD" + number + "\r\n\r\n";
+            case SMALL_CHUNKS -> "1\r\nx\r\n";
+        };
+    }
+
     private static byte[] requests(Flood flood, int from) {
         StringBuilder requests = new StringBuilder();
         for (int i = from; requests.length() < PART_BYTES; i++) {
-            requests.append(flood.request.apply(i));
+            requests.append(input(flood, i));
         }
         return requests.toString().getBytes(StandardCharsets.ISO_8859_1);
     }
