A host's former process is compared by field, not by the equals of a record

Cause: the equals of the record HostProcess is linked at run time, with some 20 classes, when the first list is applied.

Change: its fields are compared, as ProxyAdmin does for the same reason.

--- a/src/main/java/rillyard/proxy/discovery/ReplacedHosts.java
+++ b/src/main/java/rillyard/proxy/discovery/ReplacedHosts.java
@@ -22,7 +22,12 @@
  */
 final class ReplacedHosts {
     /** The process of a host, as discovery describes it. */
-    private record HostProcess(InetSocketAddress address, double startedUnixMillis) {}
+    private record HostProcess(InetSocketAddress address, double startedUnixMillis) {
+        /** Compared by field: the equals of a record is linked at run time, which would slow down the start. */
+        boolean isThatOf(ListedEndpoint listed) {
+            return address.equals(listed.address()) && startedUnixMillis == listed.startedUnixMillis();
+        }
+    }
 
     private final EndpointRegistry registry;
     private final Map<String, HostProcess> replaced = new HashMap<>();
@@ -70,8 +75,8 @@
     }
 
     private boolean isStillReplaced(ListedEndpoint listed) {
-        return isReady(listed)
-                && new HostProcess(listed.address(), listed.startedUnixMillis()).equals(replaced.get(listed.name()));
+        HostProcess former = replaced.get(listed.name());
+        return former != null && isReady(listed) && former.isThatOf(listed);
     }
 
     private boolean isNewProcess(ListedEndpoint listed) {
