Hosts' connections are read as often in a turn as before; clients' at most twice

Cause: the limit of two reads a turn, for clients that flood, held for hosts too, as both sides shared the allocator. The heads of 320 responses were read bit by bit beside each other, so that far more of them ran out of header memory at once; each counts as a failure of the host, which was ejected.

Change: clients' connections have an allocator of their own.

--- a/src/main/java/rillyard/proxy/downstream/ClientListener.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientListener.java
@@ -102,7 +102,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES) // inherited by accepted sockets
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, ConnectionLimits.READ_BUFFER_ALLOCATOR)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, ConnectionLimits.CLIENT_READ_BUFFER_ALLOCATOR)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, ConnectionLimits.WRITE_BUFFER_WATER_MARK)
                 .handler(new ChannelInitializer<PeekableSocketChannel.Server>() {
                     @Override
--- a/src/main/java/rillyard/proxy/resources/ConnectionLimits.java
+++ b/src/main/java/rillyard/proxy/resources/ConnectionLimits.java
@@ -10,11 +10,15 @@
     public static final AdaptiveRecvByteBufAllocator READ_BUFFER_ALLOCATOR =
             new AdaptiveRecvByteBufAllocator(512, 2048, 16_384);
 
-    /** Most reads of one connection in a turn of the event loop; they bound its share of the loop's time. */
-    private static final int MAX_READS_PER_TURN = 2;
+    /** As {@link #READ_BUFFER_ALLOCATOR}, for clients, each of which gets a small share of the event loop's time. */
+    public static final AdaptiveRecvByteBufAllocator CLIENT_READ_BUFFER_ALLOCATOR =
+            new AdaptiveRecvByteBufAllocator(512, 2048, 16_384);
+
+    /** Most reads of a client's connection in a turn of the event loop. */
+    private static final int MAX_CLIENT_READS_PER_TURN = 2;
 
     static {
-        READ_BUFFER_ALLOCATOR.maxMessagesPerRead(MAX_READS_PER_TURN);
+        CLIENT_READ_BUFFER_ALLOCATOR.maxMessagesPerRead(MAX_CLIENT_READS_PER_TURN);
     }
 
     /** Water marks of the write buffer (bytes); they bound the memory of one connection. */
