--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -1,23 +1,23 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import lab2.Deployment;
 import lab2.Lab;
 import lab2.Prober;
 
 /**
- * Clients send half a request each and wait; a usual client that connects meanwhile must get an answer, or a close, in
- * its time.
+ * Clients send a request of 48 kB on each connection and, after its answer, two at once, the second of them in chunks of
+ * one byte. The proxy must not crash.
  */
 public final class Case8 {
-    private static final int BAD_CLIENTS = 300;
-    private static final int NEW_CLIENTS = 100;
-    private static final int TIMEOUT_MILLIS = 800;
-    private static final int LATE_MILLIS = 550;
+    private static final int CLIENTS = 200;
+    private static final int FIRST_BODY_BYTES = 48_000;
+    private static final int THIRD_BODY_BYTES = 3_000;
+    private static final long WORK_MILLIS = 300;
+    private static final long RUN_MILLIS = 20_000;
 
     private Case8() {}
 
@@ -27,78 +27,78 @@
 
     private static boolean run(Lab lab) throws Exception {
         Deployment deployment = new Deployment(lab, 6, (request, out) -> {
-            Thread.sleep(100);
+            if (request.body().length > 2) {
+                Thread.sleep(WORK_MILLIS);
+            }
             out.write(Prober.answer(request));
         });
-        Lab.Proxy proxy = deployment.startProxy(192, 256);
-        Thread.sleep(2_000);
-        AtomicInteger ended = new AtomicInteger();
-        for (int i = 0; i < BAD_CLIENTS && lab.trouble(); i++) {
+        Lab.Proxy proxy = deployment.startProxy(192, 1_024);
+        Prober usual = new Prober(lab, proxy.address(), Deployment.CLAIM, 800, 4, 100);
+        Thread.sleep(3_000);
+        AtomicInteger rounds = new AtomicInteger();
+        AtomicInteger answers = new AtomicInteger();
+        for (int i = 0; i < CLIENTS; i++) {
             int number = i;
-            Thread client = new Thread(() -> sendHalf(lab, proxy, number, ended), "bad client " + i);
+            Thread client = new Thread(() -> send(lab, proxy, number, rounds, answers), "client " + i);
             client.setDaemon(true);
             client.start();
         }
-        Thread.sleep(1_000);
-        AtomicInteger late = new AtomicInteger();
-        AtomicInteger answered = new AtomicInteger();
-        List<Thread> clients = new ArrayList<>();
-        for (int i = 0; i < NEW_CLIENTS; i++) {
-            int number = i;
-            Thread client = new Thread(() -> sendOnce(lab, proxy, number, answered, late), "usual client " + i);
-            client.start();
-            clients.add(client);
-            Thread.sleep(100);
+        long until = System.nanoTime() + RUN_MILLIS * 1_000_000;
+        while (System.nanoTime() < until && proxy.isAlive()) {
+            Thread.sleep(500);
+            lab.record("rounds %d, answers %d, resident %d MB", rounds.get(), answers.get(), proxy.residentMb());
         }
-        for (Thread client : clients) {
-            client.join();
+        usual.stop();
+        if (!proxy.isAlive()) {
+            lab.record("the proxy has crashed, exit status %d", proxy.exitStatus());
         }
-        lab.record(
-                "usual clients %d, answered or closed in time %d, lost %d; half requests that were ended %d",
-                NEW_CLIENTS, answered.get(), late.get(), ended.get());
-        return !proxy.isAlive() || late.get() > 0;
+        return !proxy.isAlive();
     }
 
-    /** Sends a head and a part of the body again and again, each time until the answer or the close. */
-    private static void sendHalf(Lab lab, Lab.Proxy proxy, int number, AtomicInteger ended) {
+    private static void send(Lab lab, Lab.Proxy proxy, int number, AtomicInteger rounds, AtomicInteger answers) {
+        String pieces = lab.trouble()
+                ? "1\r\nx\r\n".repeat(THIRD_BODY_BYTES)
+                : Integer.toHexString(THIRD_BODY_BYTES) + "\r\n" + "x".repeat(THIRD_BODY_BYTES) + "\r\n";
         for (int round = 0; proxy.isAlive(); round++) {
-            try (Socket socket = Deployment.connect(proxy.address(), 6_000)) {
-                String half = Deployment.head(Deployment.CLAIM, "half" + number + "-" + round, TIMEOUT_MILLIS)
-                        + "Content-Length: 200\r\n\r\nhalf of it";
-                socket.getOutputStream().write(half.getBytes(StandardCharsets.US_ASCII));
-                socket.getInputStream().readAllBytes();
+            String id = "p" + number + "-" + round;
+            String first = Deployment.head(Deployment.CLAIM, id + "a", 800) + "Content-Length: " + FIRST_BODY_BYTES
+                    + "\r\n\r\n" + "x".repeat(FIRST_BODY_BYTES);
+            String second = Deployment.head(Deployment.CLAIM, id + "b", 800) + "Content-Length: 4\r\n\r\nslow";
+            String third = Deployment.head(Deployment.CLAIM, id + "c", 800) + "Transfer-Encoding: chunked\r\n\r\n"
+                    + pieces + "0\r\n\r\n";
+            try (Socket socket = Deployment.connect(proxy.address(), 3_000)) {
+                InputStream in = new BufferedInputStream(socket.getInputStream());
+                write(socket, first);
+                count(in, answers);
+                if (lab.trouble()) {
+                    write(socket, second + third);
+                    count(in, answers);
+                } else {
+                    write(socket, second);
+                    count(in, answers);
+                    write(socket, third);
+                }
+                rounds.incrementAndGet();
+                count(in, answers);
+                Thread.sleep(100);
             } catch (IOException e) {
-                // reset, or not accepted: sent again
+                if (round == 0) {
+                    lab.record("client %d: %s", number, e);
+                }
+            } catch (InterruptedException e) {
+                return;
             }
-            ended.incrementAndGet();
         }
     }
 
-    /** Connects and sends one complete request, whose answer or close has to come in time. */
-    private static void sendOnce(Lab lab, Lab.Proxy proxy, int number, AtomicInteger answered, AtomicInteger late) {
-        String id = "once" + number;
-        long sentNanos;
-        try (Socket socket = Deployment.connect(proxy.address(), TIMEOUT_MILLIS + LATE_MILLIS)) {
-            socket.getOutputStream()
-                    .write(Deployment.request(Deployment.CLAIM, id, TIMEOUT_MILLIS)
-                            .getBytes(StandardCharsets.US_ASCII));
-            sentNanos = System.nanoTime();
-            String answer;
-            try {
-                answer = Deployment.readAnswer(new BufferedInputStream(socket.getInputStream()));
-            } catch (java.net.SocketTimeoutException e) {
-                late.incrementAndGet();
-                lab.record("LOST %s: no answer and no close %d ms after it was sent", id, millisSince(sentNanos));
-                return;
-            }
-            lab.record("%s: after %d ms: %s", id, millisSince(sentNanos), answer == null ? "closed" : answer);
-        } catch (IOException e) {
-            lab.record("%s: closed: %s", id, e);
-        }
-        answered.incrementAndGet();
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
     }
 
-    private static long millisSince(long nanos) {
-        return (System.nanoTime() - nanos) / 1_000_000;
+    private static void count(InputStream in, AtomicInteger answers) throws IOException {
+        if (Deployment.readAnswer(in) == null) {
+            throw new IOException("closed");
+        }
+        answers.incrementAndGet();
     }
 }
