Review: the programs of the cases 6 to 10 move to lab-2, beside review/build.sh

Cause: review/build.sh of the earlier review compiles every Java file in a folder of one digit, and failed over those of the new cases. And run.sh of the new cases ended with 1, as for a broken rule, where the JVM could not start the program.

What the cases send and check is unchanged.

--- a/review/10/Case10.java
+++ b/review/lab-2/Case10.java
@@ -1,13 +1,11 @@
+package lab2;
+
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicLong;
-import lab2.Deployment;
-import lab2.Host;
-import lab2.Lab;
-import lab2.Prober;
 
 /** Hosts send long answers in small chunks; meanwhile the usual requests must be answered in their time. */
 public final class Case10 {
--- a/review/6/Case6.java
+++ b/review/lab-2/Case6.java
@@ -1,3 +1,5 @@
+package lab2;
+
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -6,10 +8,6 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
-import lab2.Deployment;
-import lab2.Host;
-import lab2.Lab;
-import lab2.Prober;
 
 /**
  * A long keyed request arrives while the proxy is held up; its host resets the connection long after the request has
--- a/review/7/Case7.java
+++ b/review/lab-2/Case7.java
@@ -1,3 +1,5 @@
+package lab2;
+
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -8,9 +10,6 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
-import lab2.Deployment;
-import lab2.Lab;
-import lab2.Prober;
 
 /**
  * Busy clients at 40 sound hosts, with the fewest descriptors that the pages give. A client that connects then must
--- a/review/8/Case8.java
+++ b/review/lab-2/Case8.java
@@ -1,12 +1,11 @@
+package lab2;
+
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
-import lab2.Deployment;
-import lab2.Lab;
-import lab2.Prober;
 
 /**
  * Clients send a request of 48 kB on each connection and, after its answer, two at once, the second of them in chunks of
--- a/review/9/Case9.java
+++ b/review/lab-2/Case9.java
@@ -1,3 +1,5 @@
+package lab2;
+
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.net.Socket;
@@ -5,9 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import lab2.Deployment;
-import lab2.Lab;
-import lab2.Prober;
 
 /**
  * Clients send half a request each and wait; a usual client that connects meanwhile must get an answer, or a close, in
--- a/review/lab-2/Lab.java
+++ b/review/lab-2/Lab.java
@@ -26,9 +26,12 @@
  * file. {@link #close} ends everything that was started.
  */
 public final class Lab implements AutoCloseable {
-    /** Exit status of a case that could not run. */
+    /** Exit status of a program whose case could not run; run.sh takes all but 0 and {@link #BROKEN} for it. */
     public static final int COULD_NOT_RUN = 2;
 
+    /** Exit status of a program that has found the rule broken; the JVM itself uses 1. */
+    public static final int BROKEN = 3;
+
     private static final long READY_MILLIS = 30_000;
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
 
@@ -164,8 +167,8 @@
                 boolean broken = body.run(lab);
                 lab.record("result: the rule %s", broken ? "was BROKEN" : "held");
                 System.out.println(broken ? "the rule was broken" : "the rule held");
-                status = broken ? 1 : 0;
-            } catch (Exception | AssertionError e) {
+                status = broken ? BROKEN : 0;
+            } catch (Throwable e) {
                 lab.record("could not run: %s", e);
                 e.printStackTrace();
             }
