An upload received before its dispatch keeps its idempotency window

Cause: the dispatch of an upload waits while its client's input is unread. If the last byte is received meanwhile, the balancer ignores the notice, as it does not know the request, and the dispatch then passes an infinite remaining time: no attempt counts as sent, and no window begins.

Change: RequestExchange.dispatch passes the time until its deadline, which is infinite only while the request is being received. A short request that waited for its dispatch is passed with the time that remains then, no longer with that of 0.1 s earlier.

--- a/src/main/java/rillyard/proxy/dispatch/ClientRequest.java
+++ b/src/main/java/rillyard/proxy/dispatch/ClientRequest.java
@@ -61,10 +61,15 @@
         headers.remove(HttpHeaderNames.EXPECT);
     }
 
-    /** Returns what the balancer needs of the request; {@code id} is that of the exchange. */
-    IncomingRequest toIncomingRequest(long id) {
+    /**
+     * Returns what the balancer needs of the request.
+     *
+     * @param id id of the exchange
+     * @param remainingMillis time until the client's deadline, infinite while the request is being received
+     */
+    IncomingRequest toIncomingRequest(long id, double remainingMillis) {
         String tenant = head.headers().get(ProtocolHeaders.TENANT);
-        return new IncomingRequest(id, requestClass, tenant, isUpload() ? Double.POSITIVE_INFINITY : timeoutMillis);
+        return new IncomingRequest(id, requestClass, tenant, remainingMillis);
     }
 
     /**
--- a/src/main/java/rillyard/proxy/dispatch/RequestExchange.java
+++ b/src/main/java/rillyard/proxy/dispatch/RequestExchange.java
@@ -63,9 +63,13 @@
         return deadlineAtMillis;
     }
 
-    /** Passes the request to the balancer. */
+    /**
+     * Passes the request to the balancer, with the time that remains by now. An upload may have been received to its end
+     * since the exchange was created: its time has begun then.
+     */
     public void dispatch() {
-        driver.onRequest(this, request.toIncomingRequest(id));
+        double remainingMillis = Math.max(0, deadlineAtMillis - driver.nowMillis());
+        driver.onRequest(this, request.toIncomingRequest(id, remainingMillis));
     }
 
     /**
@@ -102,7 +106,7 @@
         request.upload().complete();
         double remainingMillis = Math.max(0, request.timeoutMillis() - waitedMillis);
         deadlineAtMillis = driver.nowMillis() + remainingMillis;
-        driver.onRequestComplete(this, remainingMillis);
+        driver.onRequestComplete(this, remainingMillis); // ignored there unless the request was dispatched
         if (response.isDecided()) {
             timers.dropDeferred();
         } else {
