The listener waits only for connections in use, and not past the time of a client

Cause: the accept that takes the last descriptor paused the listener even if connections to hosts were idle, which are closed for a new client only after its accept; only the end of a client's connection resumed it. Its clients' requests are taken meanwhile, as the kernel accepts them.

Change: DescriptorBudget reports each change; AcceptControl pauses while connections in use take all descriptors, resumes at once, and closes the backlog unread after each 0.25 s of a pause. The wait in the backlog is deducted from a request's time.

--- a/src/main/java/rillyard/admin/AcceptBackoff.java
+++ b/src/main/java/rillyard/admin/AcceptBackoff.java
@@ -41,6 +41,11 @@
         context = ctx;
     }
 
+    /** Returns the context of this handler, or null before it was added to its channel. */
+    protected final ChannelHandlerContext context() {
+        return context;
+    }
+
     /** Returns whether connections may be accepted if no accept has just failed. */
     protected boolean mayAccept() {
         return true;
@@ -48,7 +53,7 @@
 
     /** Resumes or suspends accepting, as {@link #mayAccept} and the last failure require. */
     public final void update() {
-        if (context.channel().isOpen()) {
+        if (context != null && context.channel().isOpen()) {
             context.channel().config().setAutoRead(!isBackingOff && mayAccept());
         }
     }
--- a/src/main/java/rillyard/proxy/downstream/ClientListener.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientListener.java
@@ -32,7 +32,8 @@
  * <p>Confined to the event loop, except for the methods whose documentation says otherwise.
  */
 public final class ClientListener {
-    private static final int BACKLOG = 1_024;
+    /** Most connections that the kernel holds until they are accepted. */
+    static final int BACKLOG = 1_024;
 
     /** Receive buffer (bytes) of a connection: what it holds, and a close behind it, are not seen while reading pauses. */
     private static final int RECEIVE_BUFFER_BYTES = 128 * 1024;
@@ -76,7 +77,8 @@
         this.headerMemory = headerMemory;
         this.log = log;
         this.stallDetector = stallDetector;
-        this.acceptControl = new AcceptControl(descriptors, log);
+        this.acceptControl = new AcceptControl(descriptors, stallDetector, log);
+        descriptors.onChange(acceptControl::onDescriptorsChanged);
         this.validator = new RequestValidator(config.settings().classes(), driver);
         this.dispatcher = new RequestDispatcher(driver, log, config.maxOpenRequests());
     }
@@ -144,9 +146,6 @@
         // The close future completes when the descriptor is free; the handlers are notified later.
         channel.closeFuture().addListener(future -> onClosed(connection));
         channel.pipeline().addLast(decoder, new HttpResponseEncoder(), connection);
-        if (descriptors.isExhausted()) {
-            acceptControl.update(); // other connections wait in the backlog, as accepts would fail
-        }
     }
 
     void onOpened(ClientConnection connection) {
@@ -157,7 +156,6 @@
     private void onClosed(ClientConnection connection) {
         connections.remove(connection);
         descriptors.onClientClosed(connection);
-        acceptControl.update();
     }
 
     /**
--- a/src/main/java/rillyard/proxy/eventloop/PeekableSocketChannel.java
+++ b/src/main/java/rillyard/proxy/eventloop/PeekableSocketChannel.java
@@ -62,6 +62,33 @@
                 pipeline().fireChannelReadComplete();
             }
         }
+
+        /**
+         * Accepts connections of the backlog and closes them unread; returns their number.
+         *
+         * @param max most connections to close
+         * @throws IOException if an accept has failed, before which others may have succeeded
+         */
+        public int closePending(int max) throws IOException {
+            int closed = 0;
+            SocketChannel socket = acceptSocket();
+            while (socket != null) {
+                closeUnread(socket);
+                closed++;
+                socket = closed < max ? acceptSocket() : null;
+            }
+            return closed;
+        }
+
+        private static void closeUnread(SocketChannel socket) {
+            try (socket) {
+                socket.configureBlocking(false);
+                socket.shutdownOutput();
+                drainInput(socket);
+            } catch (IOException ignored) {
+                // the peer has reset the connection
+            }
+        }
     }
 
     /** Most bytes that are read and discarded before a socket is closed. */
@@ -192,16 +219,16 @@
     public void shutdownOutputAndDrain() {
         if (isActive()) {
             shutdownOutput();
-            drainInput();
+            drainInput(javaChannel());
         }
         close();
     }
 
-    private void drainInput() {
+    private static void drainInput(SocketChannel socket) {
         ByteBuffer scratch = ByteBuffer.allocate(DRAIN_BUFFER_BYTES);
         int remainingReads = MAX_DRAINED_BYTES / DRAIN_BUFFER_BYTES;
         try {
-            while (remainingReads > 0 && javaChannel().read(scratch.clear()) > 0) {
+            while (remainingReads > 0 && socket.read(scratch.clear()) > 0) {
                 remainingReads--;
             }
         } catch (IOException ignored) {
--- a/src/main/java/rillyard/proxy/resources/DescriptorBudget.java
+++ b/src/main/java/rillyard/proxy/resources/DescriptorBudget.java
@@ -44,6 +44,7 @@
     private final Set<IdleConnection> idleUpstreams = new LinkedHashSet<>();
     private int clientCount;
     private int upstreamCount;
+    private Runnable changeListener = () -> {};
 
     /** Creates an unused budget for a process with the given descriptor limit. */
     public DescriptorBudget(int descriptors) {
@@ -52,6 +53,11 @@
         this.clientLimit = Math.max(8, (int) (CLIENT_SHARE * limit));
     }
 
+    /** Sets the action that runs when a connection was opened or closed, or has become idle or busy. */
+    public void onChange(Runnable listener) {
+        changeListener = listener;
+    }
+
     /** Returns whether one more client can be accepted, after closing idle connections where needed. */
     public boolean hasCapacityForClient() {
         while (clientCount >= idleEvictionThreshold && closeOldest(idleClients)) {
@@ -85,11 +91,16 @@
         return true;
     }
 
-    /** Returns whether no further descriptor may be used. */
-    public boolean isExhausted() {
+    private boolean isExhausted() {
         return clientCount + upstreamCount >= limit;
     }
 
+    /** Returns whether no further descriptor may be used and there is no idle connection to close for another one. */
+    public boolean isFull() {
+        int idle = idleClients.size() + unusedClients.size() + idleUpstreams.size();
+        return clientCount + upstreamCount - idle >= limit;
+    }
+
     /** Returns the number of connections to hosts, established or connecting. */
     public int upstreamConnections() {
         return upstreamCount;
@@ -98,6 +109,7 @@
     /** Records that a client connection was accepted. */
     public void onClientOpened() {
         clientCount++;
+        changeListener.run();
     }
 
     /** Records that a client connection was closed. */
@@ -105,16 +117,19 @@
         clientCount--;
         idleClients.remove(connection);
         unusedClients.remove(connection);
+        changeListener.run();
     }
 
     /** Records that a connection to a host was begun. */
     public void onUpstreamOpened() {
         upstreamCount++;
+        changeListener.run();
     }
 
     /** Records that a connection to a host was closed. */
     public void onUpstreamClosed() {
         upstreamCount--;
+        changeListener.run();
     }
 
     /** Records whether a client connection is idle. */
@@ -129,11 +144,10 @@
         setMember(idleUpstreams, connection, idle);
     }
 
-    private static void setMember(Set<IdleConnection> set, IdleConnection connection, boolean idle) {
-        if (idle) {
-            set.add(connection);
-        } else {
-            set.remove(connection);
+    private void setMember(Set<IdleConnection> set, IdleConnection connection, boolean idle) {
+        boolean isChanged = idle ? set.add(connection) : set.remove(connection);
+        if (isChanged) {
+            changeListener.run();
         }
     }
 }
--- a/src/main/java/rillyard/stall/StallDetector.java
+++ b/src/main/java/rillyard/stall/StallDetector.java
@@ -97,6 +97,12 @@
         backlogTurn = turn - 2; // neither this turn nor the one before
     }
 
+    /** Records that connections are accepted again, of which some may have waited since {@code pausedSinceNanos}. */
+    public void onAcceptsResumed(long pausedSinceNanos) {
+        backlogTurn = turn;
+        backlogSinceNanos = pausedSinceNanos;
+    }
+
     /** Returns the number of the current turn. */
     public long turn() {
         return turn;
--- a/src/test/java/rillyard/stall/StallDetectorTest.java
+++ b/src/test/java/rillyard/stall/StallDetectorTest.java
@@ -93,4 +93,18 @@
                 .as("input of a later turn")
                 .isEqualTo(240 * MS);
     }
+
+    @Test
+    void connectionMayHaveWaitedSinceAcceptsWerePaused() {
+        poll(0, 250, 200);
+        poll(210, 250, 230);
+        detector.onAcceptsResumed(100 * MS);
+        poll(240, 250, 245);
+        assertThat(detector.acceptableSince()).isEqualTo(100 * MS);
+        detector.onBacklogEmpty();
+        poll(260, 500, 300);
+        assertThat(detector.acceptableSince())
+                .as("the backlog was empty in between")
+                .isEqualTo(300 * MS);
+    }
 }
