What is read behind a request in progress is held as bytes, not as parsed parts

Cause: the input that was read together with the end of a request was parsed to its end and held part by part. 16 KiB are 2,700 chunks of one byte, each with its objects, which are charged to no budget.

Change: the decoder stops once a part must be held, and the rest is held as bytes, which are charged. Held input suspends the timeout of a request that is being received: a body that the proxy had read and held was answered 408 after 2.2 s.

--- a/src/main/java/rillyard/proxy/downstream/ClientRequestDecoder.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientRequestDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import java.util.List;
 import rillyard.proxy.eventloop.PeekableSocketChannel;
 import rillyard.proxy.resources.ConnectionLimits;
 import rillyard.proxy.resources.HeaderMemoryAccount;
@@ -26,6 +27,7 @@
     private ChannelHandlerContext context;
     private boolean receiving;
     private boolean discardingInput;
+    private boolean isHoldingRest;
     private int discardedBytes;
     private long lastReadNanos;
     private long receivingSinceNanos;
@@ -69,6 +71,7 @@
         ByteBuf read = channel.prependPeekedByte((ByteBuf) msg);
         if (!pipelineBuffer.isHoldingBytes() && !pipelineBuffer.hasOverflowed()) {
             inputSentSinceNanos = channel.sentSinceNanos();
+            isHoldingRest = false;
             super.channelRead(ctx, read);
             return;
         }
@@ -78,6 +81,22 @@
         }
     }
 
+    /**
+     * Parses the next part, unless the part before it is held: the bytes behind that are held as they are, because
+     * parsed parts take many times the memory of their bytes.
+     */
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+        if (discardingInput) {
+            buffer.skipBytes(buffer.readableBytes());
+        } else if (isHoldingRest) {
+            ByteBuf rest = buffer.readRetainedSlice(buffer.readableBytes());
+            pipelineBuffer.addFirstBytes(rest, inputSentSinceNanos, ctx.alloc());
+        } else {
+            super.decode(ctx, buffer, out);
+        }
+    }
+
     /** Discards input without parsing it, which would take event loop time for nothing. */
     private void discard(ChannelHandlerContext ctx, ByteBuf read) {
         discardedBytes += read.readableBytes();
@@ -93,8 +112,12 @@
         headerMemory.discard();
     }
 
-    /** From now on holds input unparsed, up to a limit, so that the end of the connection is still noticed. */
+    /**
+     * From now on holds input unparsed, up to a limit, so that the end of the connection is still noticed; also the rest
+     * of the input that is being parsed.
+     */
     void holdInput() {
+        isHoldingRest = true;
         pipelineBuffer.holdBytes();
     }
 
@@ -109,6 +132,7 @@
             return;
         }
         inputSentSinceNanos = held.sentSinceNanos();
+        isHoldingRest = false;
         try {
             super.channelRead(context, held.bytes());
             super.channelReadComplete(context);
@@ -117,6 +141,11 @@
         }
     }
 
+    /** Returns whether input has been read that is not parsed or handled yet. */
+    boolean hasHeldInput() {
+        return pipelineBuffer.hasParts() || pipelineBuffer.hasBytes();
+    }
+
     /** Returns whether a request has been received in part. */
     boolean isReceiving() {
         return receiving;
--- a/src/main/java/rillyard/proxy/downstream/ConnectionTimeouts.java
+++ b/src/main/java/rillyard/proxy/downstream/ConnectionTimeouts.java
@@ -94,6 +94,7 @@
         long receivingSinceNanos = decoder.receivingSinceNanos();
         if (body.isAwaitingMemory()
                 || receivingSinceNanos == 0
+                || decoder.hasHeldInput()
                 || !channel.config().isAutoRead()) {
             return false;
         }
--- a/src/main/java/rillyard/proxy/downstream/PipelineBuffer.java
+++ b/src/main/java/rillyard/proxy/downstream/PipelineBuffer.java
@@ -9,8 +9,9 @@
 import rillyard.proxy.resources.CompactBuffers;
 
 /**
- * Holds pipelined input, which a client sends before the response to its current request: the parts that were parsed in
- * the same read, and behind them unparsed bytes, each with the time since when it may have been sent.
+ * Holds pipelined input, which a client sends before the response to its current request: the one or two parts that were
+ * parsed before the end of the current request was known, and behind them unparsed bytes, each with the time since when
+ * it may have been sent.
  *
  * <p>Input is read to its end even where it can't be held, because only so is a close behind it noticed. Once some has
  * been discarded the buffer has overflowed, for good: no request follows those that it holds.
@@ -121,6 +122,14 @@
         chargeHeldBytes();
     }
 
+    /** Puts bytes before all others, as what was parsed before them is held; takes over the caller's reference. */
+    void addFirstBytes(ByteBuf rest, long sentSinceNanos, ByteBufAllocator allocator) {
+        ByteBuf compact = CompactBuffers.compact(rest, allocator);
+        pieces.addFirst(new HeldInput(compact, sentSinceNanos));
+        heldBytes += usedBytes(compact);
+        chargeHeldBytes();
+    }
+
     private void addPiece(ByteBuf bytes, long sentSinceNanos) {
         pieces.add(new HeldInput(bytes, sentSinceNanos));
         heldBytes += usedBytes(bytes);
