A turn of the event loop is shared: connections that use much of it wait

Cause: a turn had no bound. Hosts' connections were read up to 16 times 16 KiB in it, and each chunk was parsed, written and flushed for itself.

Change: after 10 ms of a turn ReadScheduler leaves connections that have used much time lately to the next turns, in rounds, on both sides; all others are read once, 2 KiB at most. PartGatherer gathers small parts of forwarded answers, as of uploads, and writes them together.

A test with the built jar that fails without the change is missing: a draft did not bring the transfers about.

--- a/src/main/java/rillyard/proxy/ClientProxy.java
+++ b/src/main/java/rillyard/proxy/ClientProxy.java
@@ -22,6 +22,7 @@
 import rillyard.proxy.dispatch.PeerGossip;
 import rillyard.proxy.downstream.ClientListener;
 import rillyard.proxy.eventloop.EventLoops;
+import rillyard.proxy.eventloop.ReadScheduler;
 import rillyard.proxy.eventloop.SocketChannelFactory;
 import rillyard.proxy.eventloop.StallAwareIoHandler;
 import rillyard.proxy.logging.ProxyLog;
@@ -95,9 +96,11 @@
         DescriptorBudget descriptors = new DescriptorBudget(config.maxDescriptors());
         BodyMemoryBudget bodyMemory = new BodyMemoryBudget(bodyMemoryMb(config) << MEGABYTE_SHIFT);
         HeaderMemoryBudget headerMemory = HeaderMemoryBudget.ofHeap();
-        UpstreamPool upstreams = new UpstreamPool(group, channels, config, descriptors, headerMemory, log);
+        ReadScheduler readScheduler = new ReadScheduler(stallDetector);
+        UpstreamPool upstreams =
+                new UpstreamPool(group, channels, config, descriptors, headerMemory, readScheduler, log);
         this.driver = new BalancerDriver(loop, config, upstreams, bodyMemory, log, guard, peerGossip);
-        this.listener = new ClientListener(driver, config, descriptors, bodyMemory, headerMemory, log, stallDetector);
+        this.listener = new ClientListener(driver, config, descriptors, bodyMemory, headerMemory, log, readScheduler);
         this.endpointWatch = new EndpointWatch(group, channels, config, driver.endpoints(), driver, log);
         this.drainController = new DrainController(loop, listener, driver, log, longestDeadlineMillis(config));
     }
--- a/src/main/java/rillyard/proxy/dispatch/FinalResponse.java
+++ b/src/main/java/rillyard/proxy/dispatch/FinalResponse.java
@@ -117,6 +117,11 @@
         return client.sendContent(content);
     }
 
+    /** Sends the forwarded parts that may have been kept to be sent together. */
+    void flush() {
+        client.flushContent();
+    }
+
     /** Resumes a forwarded response, as the client accepts more. */
     void onClientWritable() {
         if (stream != null) {
--- a/src/main/java/rillyard/proxy/dispatch/ForwardedResponse.java
+++ b/src/main/java/rillyard/proxy/dispatch/ForwardedResponse.java
@@ -35,6 +35,11 @@
         }
     }
 
+    /** Sends the parts that may have been kept to be sent together, as there are no more for now. */
+    void flush() {
+        exchange.response().flush();
+    }
+
     /** Resumes reading from the host, as the client accepts more. */
     void resume() {
         attempt.connection().resumeReading();
--- a/src/main/java/rillyard/proxy/dispatch/HostResponse.java
+++ b/src/main/java/rillyard/proxy/dispatch/HostResponse.java
@@ -129,6 +129,7 @@
             for (ByteBuf block : prefix.retainedBlocks()) {
                 stream.forward(block);
             }
+            stream.flush(); // the host may pause now
         } finally {
             prefix.release();
         }
@@ -162,6 +163,13 @@
         return driver.toNanoTime(exchange.deadlineAtMillis()) + MAX_LATE_END_NANOS;
     }
 
+    /** Handles the end of a read: what has been received of a forwarded response is sent. */
+    void onReadComplete() {
+        if (isForwarded()) {
+            forwarded.flush();
+        }
+    }
+
     /** Handles the end of the body: ends the forwarded response, or delivers the buffered one. */
     void onEnd() {
         if (isForwarded()) {
--- a/src/main/java/rillyard/proxy/dispatch/ResponseReceiver.java
+++ b/src/main/java/rillyard/proxy/dispatch/ResponseReceiver.java
@@ -41,6 +41,9 @@
      */
     boolean sendContent(ByteBuf content);
 
+    /** Sends parts that {@link #sendContent} may have kept to send them together. */
+    void flushContent();
+
     /** Ends a forwarded response that is complete. */
     void endResponse();
 
--- a/src/main/java/rillyard/proxy/dispatch/StreamingUpload.java
+++ b/src/main/java/rillyard/proxy/dispatch/StreamingUpload.java
@@ -12,11 +12,10 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
 import rillyard.balancer.AttemptOutcome;
 import rillyard.proxy.resources.BodyMemoryBudget;
 import rillyard.proxy.resources.BufferedBody;
-import rillyard.proxy.resources.CompactBuffers;
+import rillyard.proxy.resources.PartGatherer;
 import rillyard.proxy.upstream.UpstreamConnection;
 
 /**
@@ -27,18 +26,13 @@
  * request can't be retried.
  */
 public final class StreamingUpload {
-    /** Size up to which parts of the body are gathered to be written together, as each write has its own cost. */
-    private static final int MAX_GATHERED_PART_BYTES = 4 * 1024;
-
-    private static final int GATHERED_BYTES = 16 * 1024;
-
     private final BufferedBody prefix;
     private final long contentLength;
     private final BodyMemoryBudget memory;
     private Channel hostChannel;
     private ChannelPromise lastByteWritten;
-    /** Small parts that have not been written to the host, null if there are none. */
-    private ByteBuf gathered;
+    /** Holds small parts that have not been written to the host. */
+    private final PartGatherer gatherer = new PartGatherer(this::writePart);
 
     private long queuedBytes;
     private boolean complete;
@@ -122,30 +116,7 @@
         }
         consumed = true;
         prefix.release();
-        if (bytes.readableBytes() > MAX_GATHERED_PART_BYTES) {
-            writeGathered();
-            writePart(bytes.retain());
-        } else {
-            gather(bytes);
-        }
-    }
-
-    private void gather(ByteBuf bytes) {
-        if (gathered != null && gathered.writableBytes() < bytes.readableBytes()) {
-            writeGathered();
-        }
-        if (gathered == null) {
-            gathered = hostChannel.alloc().directBuffer(GATHERED_BYTES);
-        }
-        gathered.writeBytes(bytes);
-    }
-
-    private void writeGathered() {
-        if (gathered != null) {
-            ByteBuf part = gathered;
-            gathered = null;
-            writePart(CompactBuffers.compact(part, hostChannel.alloc()));
-        }
+        gatherer.append(bytes);
     }
 
     /** Writes a part, which is charged until the host's side of this machine has accepted it. */
@@ -162,7 +133,7 @@
     /** Sends the parts that have been appended. */
     public void flush() {
         if (hostChannel != null) {
-            writeGathered();
+            gatherer.flush();
             hostChannel.flush();
         }
     }
@@ -171,7 +142,7 @@
     void complete() {
         complete = true;
         if (hostChannel != null) {
-            writeGathered();
+            gatherer.flush();
             hostChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT, lastByteWritten);
         }
     }
@@ -181,18 +152,13 @@
         mayHaveExecuted |= !outcome.provesNotExecuted();
         if (connection != null && connection.channel() == hostChannel) {
             hostChannel = null;
-            releaseGathered();
+            gatherer.release();
         }
     }
 
-    private void releaseGathered() {
-        ReferenceCountUtil.release(gathered);
-        gathered = null;
-    }
-
     /** Frees the buffered part. */
     void release() {
         prefix.release();
-        releaseGathered();
+        gatherer.release();
     }
 }
--- a/src/main/java/rillyard/proxy/dispatch/UpstreamAttempt.java
+++ b/src/main/java/rillyard/proxy/dispatch/UpstreamAttempt.java
@@ -192,6 +192,13 @@
         reportEnd(AttemptOutcome.OK);
     }
 
+    @Override
+    public void onReadComplete() {
+        if (response != null) {
+            response.onReadComplete();
+        }
+    }
+
     @Override
     public void onResponseEnd() {
         response.onEnd();
--- a/src/main/java/rillyard/proxy/downstream/ClientConnection.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientConnection.java
@@ -78,6 +78,7 @@
         if (abandoned != null) {
             abandoned.onClientDisconnected();
         }
+        writer.release();
     }
 
     @Override
--- a/src/main/java/rillyard/proxy/downstream/ClientListener.java
+++ b/src/main/java/rillyard/proxy/downstream/ClientListener.java
@@ -17,6 +17,7 @@
 import rillyard.proxy.config.ProxyConfig;
 import rillyard.proxy.dispatch.BalancerDriver;
 import rillyard.proxy.eventloop.PeekableSocketChannel;
+import rillyard.proxy.eventloop.ReadScheduler;
 import rillyard.proxy.eventloop.SocketChannelFactory;
 import rillyard.proxy.logging.ProxyLog;
 import rillyard.proxy.resources.BodyMemoryBudget;
@@ -48,6 +49,7 @@
     private final BodyMemoryBudget bodyMemory;
     private final HeaderMemoryBudget headerMemory;
     private final ProxyLog log;
+    private final ReadScheduler readScheduler;
     private final StallDetector stallDetector;
     private final AcceptControl acceptControl;
     private final RequestValidator validator;
@@ -61,7 +63,7 @@
     /**
      * Creates a listener that is not bound yet.
      *
-     * @param stallDetector detector of the event loop, which computes how long an accepted connection may have waited
+     * @param readScheduler scheduler of the event loop, whose detector computes how long a connection may have waited
      */
     public ClientListener(
             BalancerDriver driver,
@@ -70,13 +72,14 @@
             BodyMemoryBudget bodyMemory,
             HeaderMemoryBudget headerMemory,
             ProxyLog log,
-            StallDetector stallDetector) {
+            ReadScheduler readScheduler) {
         this.driver = driver;
         this.descriptors = descriptors;
         this.bodyMemory = bodyMemory;
         this.headerMemory = headerMemory;
         this.log = log;
-        this.stallDetector = stallDetector;
+        this.readScheduler = readScheduler;
+        this.stallDetector = readScheduler.stallDetector();
         this.acceptControl = new AcceptControl(descriptors, stallDetector, log);
         descriptors.onChange(acceptControl::onDescriptorsChanged);
         this.validator = new RequestValidator(config.settings().classes(), driver);
@@ -136,6 +139,7 @@
 
     private void onAccepted(PeekableSocketChannel channel) {
         boolean overflow = !descriptors.hasCapacityForClient();
+        channel.limitReads(readScheduler);
         PipelineBuffer pipelineBuffer = new PipelineBuffer(bodyMemory);
         HeaderMemoryAccount account = new HeaderMemoryAccount(
                 headerMemory,
--- a/src/main/java/rillyard/proxy/downstream/ResponseWriter.java
+++ b/src/main/java/rillyard/proxy/downstream/ResponseWriter.java
@@ -19,6 +19,7 @@
 import rillyard.proxy.resources.BodyMemoryBudget;
 import rillyard.proxy.resources.BufferedBody;
 import rillyard.proxy.resources.CompactBuffers;
+import rillyard.proxy.resources.PartGatherer;
 
 /** Writes the responses of one client connection, and tracks since when the client has not read them. */
 final class ResponseWriter implements ResponseReceiver {
@@ -26,6 +27,7 @@
     private final ClientConnection connection;
     private final Channel channel;
     private final BodyMemoryBudget memory;
+    private final PartGatherer gatherer = new PartGatherer(this::writeContent);
     private long queuedBytes;
     private boolean isPausedForMemory;
     private long blockedSinceNanos;
@@ -86,6 +88,20 @@
 
     @Override
     public boolean sendContent(ByteBuf content) {
+        try {
+            gatherer.append(content);
+        } finally {
+            content.release();
+        }
+        return channel.isWritable() && !isPausedForMemory;
+    }
+
+    @Override
+    public void flushContent() {
+        gatherer.flush();
+    }
+
+    private void writeContent(ByteBuf content) {
         ByteBuf part = CompactBuffers.compact(content, channel.alloc());
         int bytes = part.readableBytes();
         ChannelFuture written = write(new DefaultHttpContent(part), null);
@@ -95,7 +111,6 @@
             written.addListener(future -> onContentWritten(bytes));
         }
         isPausedForMemory = queuedBytes > 0 && memory.isExhausted(Long.MAX_VALUE);
-        return channel.isWritable() && !isPausedForMemory;
     }
 
     private void onContentWritten(int bytes) {
@@ -109,11 +124,13 @@
 
     @Override
     public void endResponse() {
+        gatherer.flush();
         connection.onResponseWritten(write(LastHttpContent.EMPTY_LAST_CONTENT, null));
     }
 
     @Override
     public void abortResponse() {
+        gatherer.release();
         connection.onResponseAborted();
     }
 
@@ -137,6 +154,11 @@
         connection.resumeUpload();
     }
 
+    /** Frees what has not been written, as the connection is closed. */
+    void release() {
+        gatherer.release();
+    }
+
     /** Regards the response as being written until {@code written}, its last write, is done. */
     void awaitWritten(ChannelFuture written) {
         if (!written.isDone()) {
--- a/src/main/java/rillyard/proxy/eventloop/InputAge.java
+++ b/src/main/java/rillyard/proxy/eventloop/InputAge.java
@@ -72,6 +72,17 @@
         shortTurns = 0;
     }
 
+    /** Records that this turn does not read input, which may have arrived since the given time. */
+    void onDeferred(long turn, long nowNanos, long readableSinceNanos) {
+        if (!hasUnreadInput(turn, nowNanos)) {
+            sentSinceNanos = readableSinceNanos;
+        }
+        isBehind = true;
+        isLastReadComplete = false;
+        lastTurn = turn;
+        shortTurns = 0;
+    }
+
     /** Records that reading is resumed. */
     void onResumed(long turn, long nowNanos) {
         isPaused = false;
--- a/src/main/java/rillyard/proxy/eventloop/PeekableSocketChannel.java
+++ b/src/main/java/rillyard/proxy/eventloop/PeekableSocketChannel.java
@@ -103,6 +103,12 @@
     private final long acceptTurn;
     private final long acceptableSinceNanos;
     private final InputAge inputAge = new InputAge();
+    private final ReadUsage readUsage = new ReadUsage();
+    /** Null unless reads are limited. */
+    private ReadScheduler readScheduler;
+
+    private long handlingSinceNanos;
+    private boolean isReadDeferred;
     private boolean hasPeekedByte;
 
     /** Creates a channel for a connect; {@link #sentSinceNanos} is not supported by it. */
@@ -130,9 +136,55 @@
                 stallDetector.readableSince(acceptTurn, acceptableSinceNanos));
     }
 
+    /** From now on reads as much of each turn as the scheduler grants. */
+    public void limitReads(ReadScheduler scheduler) {
+        readScheduler = scheduler;
+    }
+
+    @Override
+    protected int doReadBytes(ByteBuf bytes) throws Exception {
+        if (readScheduler == null) {
+            return super.doReadBytes(bytes);
+        }
+        long nowNanos = System.nanoTime();
+        endHandling(nowNanos);
+        int granted = readScheduler.maxBytes(readUsage, bytes.writableBytes(), nowNanos);
+        isReadDeferred = granted == ReadScheduler.DEFERRED;
+        if (isReadDeferred) {
+            recordDeferred(nowNanos);
+            return 0;
+        }
+        handlingSinceNanos = nowNanos;
+        if (granted == bytes.writableBytes()) {
+            return super.doReadBytes(bytes);
+        }
+        unsafe().recvBufAllocHandle().attemptedBytesRead(granted);
+        return bytes.writeBytes(javaChannel(), granted);
+    }
+
+    private void recordDeferred(long nowNanos) {
+        if (stallDetector != null) {
+            long readableSinceNanos = stallDetector.readableSince(acceptTurn, acceptableSinceNanos);
+            inputAge.onDeferred(stallDetector.turn(), nowNanos, readableSinceNanos);
+        }
+    }
+
+    private void endHandling(long nowNanos) {
+        if (handlingSinceNanos != 0) {
+            readUsage.onHandled(nowNanos - handlingSinceNanos);
+            handlingSinceNanos = 0;
+        }
+    }
+
+    /** Returns whether the last read was left to a later turn, so that the socket may hold input. */
+    public boolean isReadDeferred() {
+        return isReadDeferred;
+    }
+
     /** Records the end of the reads of a turn, the last of which may have found the socket empty. */
     public void recordReadComplete() {
-        if (unsafe().recvBufAllocHandle().lastBytesRead() <= 0) {
+        endHandling(System.nanoTime());
+        if (!isReadDeferred && unsafe().recvBufAllocHandle().lastBytesRead() <= 0) {
             inputAge.onSocketEmpty();
         }
     }
--- a/src/main/java/rillyard/proxy/upstream/UpstreamCall.java
+++ b/src/main/java/rillyard/proxy/upstream/UpstreamCall.java
@@ -59,6 +59,9 @@
     /** Is called with each part of the response's body; the part is released after the call. */
     public abstract void onResponseContent(HttpContent part);
 
+    /** Is called when no more of the response can be read for now. */
+    public void onReadComplete() {}
+
     /** Is called when the connection accepts more of the request. */
     public void onWritable() {}
 
--- a/src/main/java/rillyard/proxy/upstream/UpstreamChannelHandler.java
+++ b/src/main/java/rillyard/proxy/upstream/UpstreamChannelHandler.java
@@ -33,6 +33,12 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        UpstreamCall receiver = connection.call();
+        try {
+            connection.onReadComplete();
+        } catch (RuntimeException | Error e) {
+            connection.onHandlerFailed(receiver, e);
+        }
         stallCheck.onReadComplete();
     }
 
--- a/src/main/java/rillyard/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/rillyard/proxy/upstream/UpstreamConnection.java
@@ -123,6 +123,17 @@
         }
     }
 
+    /** Handles the end of the reads of a turn, which was deferred by the proxy itself if its share was used up. */
+    void onReadComplete() {
+        channel.recordReadComplete();
+        if (channel.isReadDeferred()) {
+            decoder.onReadingResumed();
+        }
+        if (call != null) {
+            call.onReadComplete();
+        }
+    }
+
     /** Handles the last byte of a response: the connection becomes idle, or is closed. */
     void onResponseEnd() {
         call = null;
--- a/src/main/java/rillyard/proxy/upstream/UpstreamPool.java
+++ b/src/main/java/rillyard/proxy/upstream/UpstreamPool.java
@@ -17,6 +17,7 @@
 import rillyard.connections.IdleTimeoutPolicy;
 import rillyard.proxy.config.ProxyConfig;
 import rillyard.proxy.eventloop.PeekableSocketChannel;
+import rillyard.proxy.eventloop.ReadScheduler;
 import rillyard.proxy.eventloop.SocketChannelFactory;
 import rillyard.proxy.logging.ProxyLog;
 import rillyard.proxy.resources.ConnectionLimits;
@@ -49,6 +50,7 @@
     private final Bootstrap bootstrap;
     private final DescriptorBudget descriptors;
     private final HeaderMemoryBudget headerMemory;
+    private final ReadScheduler readScheduler;
     private final ProxyLog log;
     private final IdleTimeoutPolicy idleTimeouts;
     private final Set<UpstreamConnection> discarding = new HashSet<>();
@@ -60,6 +62,7 @@
      * Creates a pool without connections.
      *
      * @param loop a group of one event loop, on which all connections live
+     * @param readScheduler scheduler of that loop, null if reads are not limited
      */
     public UpstreamPool(
             EventLoopGroup loop,
@@ -67,8 +70,10 @@
             ProxyConfig config,
             DescriptorBudget descriptors,
             HeaderMemoryBudget headerMemory,
+            ReadScheduler readScheduler,
             ProxyLog log) {
         this.descriptors = descriptors;
+        this.readScheduler = readScheduler;
         this.headerMemory = headerMemory;
         this.log = log;
         this.connectFailures = new ConnectFailureClassifier(log);
@@ -154,6 +159,7 @@
             connectFailures.reportLocal(call, future.cause());
             return;
         }
+        channel.limitReads(readScheduler);
         UpstreamResponseDecoder decoder = new UpstreamResponseDecoder(new HeaderMemoryAccount(headerMemory, null));
         UpstreamConnection connection = new UpstreamConnection(this, host, channel, decoder);
         descriptors.onUpstreamOpened();
--- a/src/test/java/rillyard/proxy/dispatch/BalancerFailureTest.java
+++ b/src/test/java/rillyard/proxy/dispatch/BalancerFailureTest.java
@@ -62,6 +62,9 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public void flushContent() {}
+
         @Override
         public void endResponse() {
             throw new UnsupportedOperationException();
--- a/src/test/java/rillyard/proxy/dispatch/DriverFixture.java
+++ b/src/test/java/rillyard/proxy/dispatch/DriverFixture.java
@@ -43,7 +43,7 @@
         Files.delete(file);
         SocketChannelFactory channels = new SocketChannelFactory();
         UpstreamPool upstreams = new UpstreamPool(
-                group, channels, config, new DescriptorBudget(1_000), HeaderMemoryBudget.ofHeap(), log);
+                group, channels, config, new DescriptorBudget(1_000), HeaderMemoryBudget.ofHeap(), null, log);
         driver = new BalancerDriver(loop, config, upstreams, new BodyMemoryBudget(MEMORY_BYTES), log, null, null);
         EndpointWatch watch = new EndpointWatch(group, channels, config, driver.endpoints(), driver, log);
         loop.submit(() -> watch.start(config.cachedEndpoints())).get();
--- a/src/test/java/rillyard/proxy/dispatch/ResponseMemoryTest.java
+++ b/src/test/java/rillyard/proxy/dispatch/ResponseMemoryTest.java
@@ -52,6 +52,9 @@
             return true;
         }
 
+        @Override
+        public void flushContent() {}
+
         @Override
         public void endResponse() {
             responseEnded.countDown();
--- a/src/test/java/rillyard/proxy/upstream/UpstreamCallFailureTest.java
+++ b/src/test/java/rillyard/proxy/upstream/UpstreamCallFailureTest.java
@@ -116,7 +116,13 @@
         Files.delete(file);
         ProxyLog log = new ProxyLog(new PrintStream(logOutput, true, StandardCharsets.UTF_8));
         pool = new UpstreamPool(
-                group, new SocketChannelFactory(), config, new DescriptorBudget(100), HeaderMemoryBudget.ofHeap(), log);
+                group,
+                new SocketChannelFactory(),
+                config,
+                new DescriptorBudget(100),
+                HeaderMemoryBudget.ofHeap(),
+                null,
+                log);
         upstreamHost.onAnnounced(
                 new EndpointEntry(0, "z", "k", 0, EndpointEntry.Condition.READY, 0),
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port()),
